--- a/pkg/gate/inflight.go
+++ b/pkg/gate/inflight.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/clementineshed/clementineshed/pkg/connstate"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 )
 
@@ -68,7 +69,7 @@
 // cancelGone ends the requests whose callers have closed their connection.
 func (f *inflight) cancelGone() {
 	for _, r := range f.all() {
-		if peerClosed(r.conn) {
+		if connstate.Of(r.conn) == connstate.Closed {
 			r.cancel(refusal.Unknown(499, refusal.CodeCallerGone, "the caller closed the connection"))
 		}
 	}
--- /dev/null
+++ b/pkg/keyedlog/keyedlog.go
@@ -0,0 +1,176 @@
+// Package keyedlog follows a stream of the log service whose records carry keys
+// and whose newest record of each key is kept for good.
+//
+// State: the offset up to which the stream was followed. Guarantees: every
+// change of a key is applied in offset order, or, when records between were
+// dropped, the newest state of all keys is applied as a whole. When the service
+// does not answer, the last state stays and reads are repeated with a growing
+// delay.
+package keyedlog
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/logservice"
+	"github.com/clementineshed/clementineshed/pkg/steperr"
+)
+
+const (
+	// minBackoff and maxBackoff bound the delay between failed reads. The upper
+	// bound stays below the time in which a configuration must be in force.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// readGrace is added to the wait of a read before it is given up.
+	readGrace = 1500 * time.Millisecond
+	// newestTimeout bounds the reading of all keys.
+	newestTimeout = 3 * time.Second
+)
+
+// Record is the newest state of a key at an offset.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+	// Dropped says that the key has no value any more.
+	Dropped bool
+}
+
+// Page is a part of the stream. Next is the offset to go on from.
+type Page struct {
+	Records []Record
+	Next    int64
+}
+
+// Client reads the stream. Implementations are safe for concurrent use.
+type Client interface {
+	// Newest returns the newest record of each key. Next is the end of the
+	// stream before the first of them was read.
+	Newest(ctx context.Context, topic string) (Page, error)
+	// Read returns the records from an offset, and waits for one if there is
+	// none. It fails with *logservice.TruncatedError if they are gone.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
+	// Write appends the new value of a key.
+	Write(ctx context.Context, topic, key string, value []byte) error
+}
+
+// Options configure a Follower.
+type Options struct {
+	Client Client
+	Topic  string
+	// Wait is how long one read may wait for a record.
+	Wait time.Duration
+	// Pace is the least time between two reads, which bounds their number.
+	Pace time.Duration
+	// Apply receives each change.
+	Apply func(Record)
+	// Reset receives the whole state.
+	Reset func([]Record)
+	// Failed and Answered, if set, are told of each read.
+	Failed   func(error)
+	Answered func()
+	Log      log.Interface
+}
+
+// Follower follows one topic.
+type Follower struct {
+	opts    Options
+	next    int64
+	known   bool
+	failing bool
+}
+
+// NewFollower returns a follower that Run starts.
+func NewFollower(opts Options) *Follower { return &Follower{opts: opts} }
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.note(err)
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		f.note(nil)
+		pause(ctx, f.opts.Pace-time.Since(started))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// note logs the first failure of a series and the answer that ends it.
+func (f *Follower) note(err error) {
+	fields := f.opts.Log.WithField("topic", f.opts.Topic).WithField("next", f.next)
+	if err == nil {
+		if f.failing {
+			fields.Info("store_regained")
+		}
+		f.failing = false
+		if f.opts.Answered != nil {
+			f.opts.Answered()
+		}
+		return
+	}
+	if !f.failing {
+		step, peer := steperr.StepAndPeer(err)
+		fields.WithField("step", step).WithField("peer", peer).WithError(err).Warn("store_lost")
+	}
+	f.failing = true
+	if f.opts.Failed != nil {
+		f.opts.Failed(err)
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.known {
+		return f.reset(ctx)
+	}
+	readCtx, cancel := context.WithTimeout(ctx, f.opts.Wait+readGrace)
+	defer cancel()
+	page, err := f.opts.Client.Read(readCtx, f.opts.Topic, f.next, f.opts.Wait)
+	var truncated *logservice.TruncatedError
+	if errors.As(err, &truncated) {
+		f.known = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range page.Records {
+		f.opts.Apply(r)
+	}
+	f.next = page.Next
+	return nil
+}
+
+func (f *Follower) reset(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	page, err := f.opts.Client.Newest(readCtx, f.opts.Topic)
+	if err != nil {
+		return err
+	}
+	f.opts.Reset(page.Records)
+	f.next, f.known = page.Next, true
+	return nil
+}
--- /dev/null
+++ b/pkg/placement/decide.go
@@ -0,0 +1,164 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/fleet"
+)
+
+const (
+	// rereadWeight is how much the reading of tokens that another engine holds
+	// or is about to hold counts beyond its time: it takes the time from others.
+	rereadWeight = 0.7
+	// farPenalty is what an engine in another failure domain has to be better by.
+	farPenalty = 2 * time.Millisecond
+	// minCopyTokens is the least prefix for which a copy is worth its setup.
+	minCopyTokens = 512
+	// slotPressure is the extra time of a decode engine whose slots are all taken.
+	slotPressure = 400 * time.Millisecond
+)
+
+// Health says which endpoints have failed recently.
+type Health interface {
+	// Suspect reports whether the endpoint should get no work if there is a
+	// choice.
+	Suspect(id string, now time.Time) bool
+}
+
+// Prefill chooses the engine that reads the prompt. It returns false if no
+// engine can.
+func (m *Model) Prefill(job Job, health Health, now time.Time) (Choice, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := m.candidates(endpoint.RolePrefill, job, health, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	source, most := m.source(job, now)
+	coming := m.mostComing(job, now)
+	var best Choice
+	bestCost := time.Duration(-1)
+	for _, e := range candidates {
+		c := m.prefillAt(e, job, source, most, now)
+		reread := max(0, coming-(job.PromptTokens-c.Uncached))
+		cost := c.Expected() + time.Duration(rereadWeight*float64(reread)/e.speed*float64(time.Second))
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, true
+}
+
+// prefillAt is what reading the prompt at e would take.
+func (m *Model) prefillAt(e *engine, job Job, source *engine, most int, now time.Time) Choice {
+	wait := e.wait(now, job.Late)
+	// What the engine is reading now it will hold when its queue is done.
+	_, own := e.cache.prefix(job.Parts, now)
+	c := Choice{Engine: e.member, Wait: wait}
+	cached := own
+	var copying time.Duration
+	if source != nil && source != e && most-own >= minCopyTokens {
+		c.Source, c.Copied = source.member, most-own
+		copying = m.physics.copyTime(c.Copied, source.member.Domain != e.member.Domain)
+		cached = most
+	}
+	c.Uncached = max(job.PromptTokens-cached, 1)
+	c.Work = copying + time.Duration(float64(c.Uncached)/e.speed*float64(time.Second))
+	return c
+}
+
+// source returns the engine that holds the longest prefix of the prompt now.
+func (m *Model) source(job Job, now time.Time) (*engine, int) {
+	var best *engine
+	most := 0
+	for _, e := range m.order {
+		if e.member.State != endpoint.StateLive {
+			continue
+		}
+		if ready, _ := e.cache.prefix(job.Parts, now); ready > most {
+			best, most = e, ready
+		}
+	}
+	return best, most
+}
+
+// mostComing is the longest prefix that some engine holds or is reading.
+func (m *Model) mostComing(job Job, now time.Time) int {
+	most := 0
+	for _, e := range m.order {
+		if _, coming := e.cache.prefix(job.Parts, now); coming > most {
+			most = coming
+		}
+	}
+	return most
+}
+
+// Decode chooses the engine that makes the tokens after the prompt was read at
+// from. It returns false if no engine can.
+func (m *Model) Decode(job Job, from fleet.Member, health Health, now time.Time) (Choice, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best Choice
+	bestCost := time.Duration(-1)
+	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
+		c := Choice{Engine: e.member, Wait: max(0, e.linkFree.Sub(now))}
+		far := from.Domain != e.member.Domain
+		c.Work = m.physics.copyTime(job.PromptTokens, far)
+		cost := c.Expected() + m.pressure(e, now)
+		if far {
+			cost += farPenalty
+		}
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, bestCost >= 0
+}
+
+// Whole chooses a decode engine that reads the prompt itself, for a fleet that
+// has no prefill engine left.
+func (m *Model) Whole(job Job, health Health, now time.Time) (Choice, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best Choice
+	bestCost := time.Duration(-1)
+	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
+		_, own := e.cache.prefix(job.Parts, now)
+		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: max(0, e.allFree.Sub(now))}
+		// A decode engine reads at half the speed, between its streams.
+		c.Work = time.Duration(2 * float64(c.Uncached) / e.speed * float64(time.Second))
+		if cost := c.Expected() + m.pressure(e, now); bestCost < 0 || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, bestCost >= 0
+}
+
+// pressure grows with the share of the slots that are taken.
+func (m *Model) pressure(e *engine, now time.Time) time.Duration {
+	slots := max(m.physics.Slots, 1)
+	taken := float64(e.streaming(now)) / float64(slots)
+	return time.Duration(taken * taken * float64(slotPressure))
+}
+
+// candidates lists the engines of a role that may take the job. Suspects are
+// among them only if there is nobody else.
+func (m *Model) candidates(role endpoint.Role, job Job, health Health, now time.Time) []*engine {
+	var sound, suspect []*engine
+	for _, e := range m.order {
+		if e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) {
+			continue
+		}
+		if health.Suspect(e.member.ID, now) {
+			suspect = append(suspect, e)
+			continue
+		}
+		sound = append(sound, e)
+	}
+	if len(sound) == 0 {
+		return suspect
+	}
+	return sound
+}
--- /dev/null
+++ b/pkg/placement/models.go
@@ -0,0 +1,25 @@
+package placement
+
+import "sync"
+
+// Models holds the model of each service with engines. It is safe for concurrent
+// use.
+type Models struct {
+	mu        sync.Mutex
+	byService map[string]*Model // guarded by mu
+}
+
+// NewModels returns an empty set.
+func NewModels() *Models { return &Models{byService: map[string]*Model{}} }
+
+// For returns the model of a service, which is created at first use.
+func (m *Models) For(service string) *Model {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	model := m.byService[service]
+	if model == nil {
+		model = NewModel()
+		m.byService[service] = model
+	}
+	return model
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retry"
+	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/upstream"
+)
+
+const (
+	// goneInterval is how often the callers' connections are looked at. Work of a
+	// caller that has gone must stop within half a second.
+	goneInterval = 120 * time.Millisecond
+	// freeTimeout bounds the freeing of a handle; the engine frees it by itself
+	// after its own time.
+	freeTimeout = time.Second
+	// maxAnswerBytes bounds a plain answer, which is held in memory until whole.
+	maxAnswerBytes = 8 << 20
+)
+
+// Options are the dependencies of a Handler.
+type Options struct {
+	Codec    Codec
+	Routes   *routes.Holder
+	Fleet    *fleet.Registry
+	Models   *placement.Models
+	Balancer *placement.Balancer
+	Outliers *outlier.Tracker
+	Budget   *retry.Shared
+	Client   *upstream.Client
+	// OnSent is told of each send of model work, for the other hosts.
+	OnSent func(service string, sent placement.Sent)
+	// OnRun is told of each request that an endpoint began to run.
+	OnRun   func(team string)
+	Metrics *Metrics
+	Log     log.Interface
+}
+
+// Handler serves callers. Its methods are safe for concurrent use.
+type Handler struct {
+	Options
+	inflight inflight
+	draining atomic.Bool
+	wg       sync.WaitGroup
+}
+
+// New returns a handler. Run must be running while it serves.
+func New(opts Options) *Handler {
+	return &Handler{Options: opts, inflight: inflight{byExchange: map[*exchange]struct{}{}}}
+}
+
+// Run watches for callers that go away until ctx ends.
+func (h *Handler) Run(ctx context.Context) {
+	ticker := time.NewTicker(goneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.inflight.cancelGone()
+		}
+	}
+}
+
+// Drain asks callers to close their connections after the next answer.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// InFlight returns the number of requests that are not answered.
+func (h *Handler) InFlight() int { return h.inflight.len() }
+
+// Wait waits for work that outlives its requests.
+func (h *Handler) Wait() { h.wg.Wait() }
+
+// Handle serves one request.
+func (h *Handler) Handle(ctx *fasthttp.RequestCtx) {
+	if h.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	x := h.begin(ctx)
+	if r := h.serve(x); r != nil {
+		x.refuse(r)
+	}
+	if !x.streaming {
+		x.end()
+	}
+}
+
+// serve answers the request, or returns the refusal to answer it with.
+func (h *Handler) serve(x *exchange) *refusal.Refusal {
+	if r := h.identify(x); r != nil {
+		return r
+	}
+	service := x.table.Service(x.service)
+	if service == nil {
+		return refusal.NotRun(503, refusal.CodeNoEndpoint, "the route's service is not configured")
+	}
+	h.Budget.Earn(x.service, x.arrived)
+	if service.Engine != nil && x.call.Prompt != nil {
+		return h.generate(x, h.Models.For(x.service))
+	}
+	return h.plain(x)
+}
+
+// identify finds the route and the team.
+func (h *Handler) identify(x *exchange) *refusal.Refusal {
+	table, err := h.Routes.Current()
+	if err != nil {
+		return refusal.NotRun(503, refusal.CodeNotReady, "the host has no configuration yet").After(time.Second).Because(err)
+	}
+	x.table = table
+	call, err := h.Codec.Decode(x.ctx)
+	if err != nil {
+		return refusal.NotRun(400, refusal.CodeInvalidRequest, "the request cannot be read").Because(err)
+	}
+	x.call = call
+	x.route, err = table.Match(call.Host, call.Path)
+	if err != nil {
+		return refusal.NotRun(404, refusal.CodeNotFound, "no route matches the request").Because(err)
+	}
+	x.service = x.route.ServiceFor(call.ID)
+	x.priority = x.route.Priority
+	if !x.route.Open {
+		team, err := table.Team(call.Key)
+		if err != nil {
+			return refusal.NotRun(401, refusal.CodeUnknownKey, "the key is not known").Because(err)
+		}
+		x.team = team.Name
+		if team.Priority != nil {
+			x.priority = *team.Priority
+		}
+	}
+	x.setDeadline()
+	return nil
+}
+
+// member returns the present announcement of an endpoint that may take work.
+func (h *Handler) members(service string) []fleet.Member { return h.Fleet.Members(service) }
--- /dev/null
+++ b/pkg/relay/send.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/steperr"
+	"github.com/clementineshed/clementineshed/pkg/upstream"
+)
+
+var (
+	// errForeign reports an answer that belongs to another request.
+	errForeign = errors.New("the answer belongs to another request")
+	// errUnsigned reports a success that no endpoint signed.
+	errUnsigned = errors.New("the answer is not signed by an endpoint")
+)
+
+// notRunError reports an endpoint's statement that it has not run the request.
+type notRunError struct {
+	endpoint string
+	status   int
+}
+
+func (e *notRunError) Error() string { return "endpoint " + e.endpoint + " did not run the request" }
+
+// certainlyNotRun reports whether err proves that the request did not run.
+func certainlyNotRun(err error) bool {
+	var refused *notRunError
+	var unsent *jsonhttp.NotSentError
+	return errors.As(err, &refused) || errors.As(err, &unsent)
+}
+
+// unsent reports whether the endpoint has not seen the request at all.
+func unsent(err error) bool {
+	var e *jsonhttp.NotSentError
+	return errors.As(err, &e)
+}
+
+// send passes the request on and returns the answer if it is signed and belongs
+// to the request. The endpoint's health is judged by the outcome.
+func (h *Handler) send(x *exchange, m fleet.Member, send Send, headLimit time.Duration, fresh bool) (*upstream.Answer, error) {
+	send.EndpointID, send.Team, send.Left = m.ID, x.team, x.left()
+	req := &upstream.Request{
+		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
+		Fields: h.Codec.Fields(&x.call, send), Body: x.call.Body,
+		HeadLimit: headLimit, Fresh: fresh,
+	}
+	answer, err := h.Client.Do(x.work, m.Address, req)
+	if err != nil {
+		h.judge(x, m, err)
+		return nil, err
+	}
+	verdict := h.Codec.Verdict(answer)
+	switch {
+	case verdict.RequestID != x.call.ID && verdict.RequestID != "":
+		err = errForeign
+	case verdict.NotRun || answer.Status == 421:
+		err = &notRunError{endpoint: m.ID, status: answer.Status}
+	case answer.Status < 300 && !verdict.Signed && send.Phase != ReadPrompt:
+		err = errUnsigned
+	}
+	if err == nil {
+		return answer, nil
+	}
+	if !certainlyNotRun(err) {
+		// What else arrives on this connection cannot be trusted.
+		answer.Poison()
+	} else if _, drainErr := answer.ReadAll(maxAnswerBytes); drainErr != nil {
+		answer.Poison()
+	}
+	answer.Close()
+	h.judge(x, m, err)
+	return nil, steperr.Wrap(err, "check answer", m.Address)
+}
+
+// judge notes a failure against the endpoint, unless the request itself ended.
+func (h *Handler) judge(x *exchange, m fleet.Member, err error) {
+	if x.work.Err() != nil {
+		return
+	}
+	now := time.Now()
+	severity := outlier.Erratic
+	switch {
+	case errors.Is(err, upstream.ErrNoAnswer) || unsent(err):
+		severity = outlier.Silent
+		// Other connections to it have probably gone silent as well.
+		h.Client.Drop(m.Address)
+	case certainlyNotRun(err):
+		// A full endpoint is not a broken one.
+		return
+	}
+	if h.Outliers.Failed(m.ID, severity, now) {
+		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
+	}
+}
--- /dev/null
+++ b/pkg/relayhost/host.go
@@ -0,0 +1,168 @@
+package relayhost
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/relay"
+	"github.com/clementineshed/clementineshed/pkg/retry"
+	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/upstream"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to an endpoint, which takes
+	// milliseconds; an endpoint without power answers nothing.
+	dialTimeout = 350 * time.Millisecond
+	// idleLimit is how long connections to endpoints are kept.
+	idleLimit = 8 * time.Second
+	maxIdle   = 24
+	// configurationWait and endpointsWait are how long reads of the store wait
+	// for a record. Keep-alive probes find a connection that goes silent.
+	configurationWait = 8 * time.Second
+	endpointsWait     = 8 * time.Second
+	// endpointsPace bounds the reads of announcements: endpoints announce
+	// themselves all the time, and a leaving one must be known within its drain
+	// time.
+	endpointsPace = 600 * time.Millisecond
+	// housekeeping is the interval of work that nothing triggers.
+	housekeeping = 250 * time.Millisecond
+	// readBufferBytes bounds the head of a caller's request.
+	readBufferBytes = 16 << 10
+	// requestReadTime and callerIdleTime are the limits for callers. Callers reuse
+	// connections that were idle for up to four fifths of what the operators
+	// declare, so the host must not close them earlier.
+	requestReadTime = 5 * time.Second
+	callerIdleTime  = 20 * time.Second
+	maxBodyBytes    = 8 << 20
+)
+
+// Adapter is the platform that a host runs on.
+type Adapter struct {
+	Codec relay.Codec
+	// Keyed reads the configuration and the announcements.
+	Keyed keyedlog.Client
+	// ConfigurationTopic, ConfigurationKey and EndpointsTopic are where they are.
+	ConfigurationTopic, ConfigurationKey, EndpointsTopic string
+	DecodeConfiguration                                  func([]byte) (routes.Document, error)
+	DecodeEndpoint                                       func(id string, data []byte) (fleet.Member, error)
+}
+
+// Host is one entry host.
+type Host struct {
+	settings Settings
+	adapter  Adapter
+	log      log.Interface
+
+	routes   routes.Holder
+	fleet    *fleet.Registry
+	models   *placement.Models
+	outliers *outlier.Tracker
+	client   *upstream.Client
+	handler  *relay.Handler
+	metrics  *relay.Metrics
+	server   *fasthttp.Server
+
+	// fleetVersion is the version of the fleet that the models know; it is used
+	// by one goroutine at a time under modelMu.
+	modelMu      sync.Mutex
+	fleetVersion int64
+
+	// endpointsKnown is set once the announcements have been read.
+	endpointsKnown atomic.Bool
+	draining       atomic.Bool
+}
+
+// New returns a host that Run starts.
+func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
+	h := &Host{settings: settings, adapter: adapter, log: logger, fleet: fleet.NewRegistry(), models: placement.NewModels(),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1,
+		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleLimit: idleLimit, MaxIdle: maxIdle})}
+	h.handler = relay.New(relay.Options{
+		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
+		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
+		Budget: retry.NewShared(settings.Repeats, h.hosts), Client: h.client,
+		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
+	})
+	h.server = &fasthttp.Server{
+		Handler: h.handler.Handle, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
+		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, NoDefaultDate: true,
+		NoDefaultContentType: true, DisablePreParseMultipartForm: true, Logger: quietLogger{},
+	}
+	return h
+}
+
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger. Broken connections of callers are not
+// worth a line each.
+func (quietLogger) Printf(string, ...any) {}
+
+func (h *Host) hosts() int { return 1 }
+
+func (h *Host) sent(string, placement.Sent) {}
+
+func (h *Host) ran(string) {}
+
+// Run serves until ctx ends, then drains and returns.
+func (h *Host) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", h.settings.CallersAddr)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp", h.settings.ReadyAddr)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	work, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { h.handler.Run(work) })
+	wg.Go(func() { h.followConfiguration(work) })
+	wg.Go(func() { h.followEndpoints(work) })
+	wg.Go(func() { h.keepHouse(work) })
+	wg.Go(func() { h.serveReady(ready) })
+	wg.Go(func() {
+		if err := h.server.Serve(callers); err != nil && ctx.Err() == nil {
+			h.log.WithError(err).Error("callers_listener_failed")
+		}
+	})
+	h.log.WithField("domain", h.settings.Domain).WithField("callers", h.settings.CallersAddr).Info("host_started")
+	<-ctx.Done()
+	h.drain(callers)
+	stop()
+	_ = ready.Close()
+	h.client.Close()
+	h.handler.Wait()
+	wg.Wait()
+	h.log.Info("host_stopped")
+	return nil
+}
+
+// keepHouse does the periodic work.
+func (h *Host) keepHouse(ctx context.Context) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			h.client.Sweep()
+			for _, id := range h.fleet.Expire(now) {
+				h.gone(id)
+			}
+			h.refreshModels()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/routes/table.go
@@ -0,0 +1,128 @@
+package routes
+
+import (
+	"hash/maphash"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrUnknownConfiguration reports that no document has been read yet.
+	ErrUnknownConfiguration = errors.New("no configuration is known yet")
+	// ErrNoRoute reports that no route matches.
+	ErrNoRoute = errors.New("no route matches")
+	// ErrUnknownKey reports a key that no team holds, or a missing one.
+	ErrUnknownKey = errors.New("no team holds the key")
+)
+
+// Table is the index of a document. It is immutable and safe for concurrent use.
+type Table struct {
+	document Document
+	// byHost holds the routes of a host, longest prefix first.
+	byHost   map[string][]*Route
+	services map[string]*Service
+	keys     map[string]*Team
+}
+
+// NewTable indexes a document, which must not be changed afterwards.
+func NewTable(document Document) *Table {
+	t := &Table{document: document, byHost: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Team{}}
+	for i := range document.Routes {
+		r := &document.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range document.Services {
+		t.services[document.Services[i].Name] = &document.Services[i]
+	}
+	for i := range document.Teams {
+		for _, key := range document.Teams[i].Keys {
+			t.keys[key] = &document.Teams[i]
+		}
+	}
+	return t
+}
+
+// Version returns the document's version.
+func (t *Table) Version() int64 { return t.document.Version }
+
+// Limits returns the document's limits.
+func (t *Table) Limits() Limits { return t.document.Limits }
+
+// Services returns the services.
+func (t *Table) Services() []Service { return t.document.Services }
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match returns the route with the longest prefix of the path among those of
+// the host. The path is compared as the caller wrote it.
+func (t *Table) Match(host, path string) (*Route, error) {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, nil
+		}
+	}
+	return nil, ErrNoRoute
+}
+
+// Team returns the team that holds the key.
+func (t *Table) Team(key string) (*Team, error) {
+	if team := t.keys[key]; team != nil {
+		return team, nil
+	}
+	return nil, ErrUnknownKey
+}
+
+// seed is fixed for the life of the process: one request keeps its service.
+var seed = maphash.MakeSeed()
+
+// ServiceFor picks the service of a request by the route's shares.
+func (r *Route) ServiceFor(requestID string) string {
+	total := 0
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Services[0].Service
+	}
+	at := int(maphash.String(seed, requestID) % uint64(total))
+	for _, s := range r.Services {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Services[0].Service
+}
+
+// Holder keeps the newest table. It is safe for concurrent use.
+type Holder struct{ current atomic.Pointer[Table] }
+
+// Current returns the newest table, or ErrUnknownConfiguration.
+func (h *Holder) Current() (*Table, error) {
+	if t := h.current.Load(); t != nil {
+		return t, nil
+	}
+	return nil, ErrUnknownConfiguration
+}
+
+// Offer takes a table into force and returns true, unless its version is not
+// higher than that of the present one.
+func (h *Holder) Offer(next *Table) bool {
+	for {
+		current := h.current.Load()
+		if current != nil && next.Version() <= current.Version() {
+			return false
+		}
+		if h.current.CompareAndSwap(current, next) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/pkg/upstream/message.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Fields is a header in the order in which it is sent.
+type Fields []Field
+
+// Get returns the value of the first field with the name, ignoring case.
+func (f Fields) Get(name string) string {
+	for _, field := range f {
+		if strings.EqualFold(field.Name, name) {
+			return field.Value
+		}
+	}
+	return ""
+}
+
+// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1),
+// and those that frame a body.
+var hopByHop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true,
+	"trailer": true, "transfer-encoding": true, "upgrade": true, "content-length": true,
+	"proxy-authenticate": true, "proxy-authorization": true, "expect": true,
+}
+
+// EndToEnd returns the fields that are passed on to the next hop.
+func (f Fields) EndToEnd() Fields {
+	listed := map[string]bool{}
+	for _, field := range f {
+		if !strings.EqualFold(field.Name, "connection") {
+			continue
+		}
+		for name := range strings.SplitSeq(field.Value, ",") {
+			listed[strings.ToLower(strings.TrimSpace(name))] = true
+		}
+	}
+	kept := make(Fields, 0, len(f)+4)
+	for _, field := range f {
+		if name := strings.ToLower(field.Name); !hopByHop[name] && !listed[name] {
+			kept = append(kept, field)
+		}
+	}
+	return kept
+}
+
+// Without returns the fields whose names are not listed, ignoring case.
+func (f Fields) Without(names ...string) Fields {
+	kept := make(Fields, 0, len(f))
+	for _, field := range f {
+		drop := false
+		for _, name := range names {
+			drop = drop || strings.EqualFold(field.Name, name)
+		}
+		if !drop {
+			kept = append(kept, field)
+		}
+	}
+	return kept
+}
+
+// Request is one request.
+type Request struct {
+	Method string
+	// Target is the request target as the caller sent it, with its query.
+	Target string
+	Host   string
+	Fields Fields
+	Body   []byte
+	// HeadLimit bounds the time from the send to the head of the answer, when
+	// it is shorter than the context's deadline; zero means no bound.
+	HeadLimit time.Duration
+	// Fresh asks for a new connection: a reused one may be closing at the peer,
+	// and a reset would leave unknown whether the request ran.
+	Fresh bool
+}
+
+// encode renders the request with an exact length.
+func (r *Request) encode() []byte {
+	b := make([]byte, 0, 512+len(r.Body))
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendField(b, "Host", r.Host)
+	for _, f := range r.Fields {
+		if !strings.EqualFold(f.Name, "host") {
+			b = appendField(b, f.Name, f.Value)
+		}
+	}
+	if len(r.Body) > 0 || r.Method != "GET" && r.Method != "HEAD" && r.Method != "DELETE" {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, r.Body...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
