--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -51,6 +51,8 @@
 	Duration      time.Duration
 	Margin        time.Duration
 	HostListLag   time.Duration
+	// PollWait and Pace are those of the stream's reader; zero takes its defaults.
+	PollWait, Pace time.Duration
 	// Log receives log lines; they are dropped if it is nil.
 	Log log.Interface
 }
@@ -136,7 +138,7 @@
 	m.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamLease, Clock: opts.Clock,
 		Rand: rand.New(rand.NewSource(opts.Rand.Int63())),
-		Fold: m.foldRecord, Truncated: m.truncated, Log: opts.Log,
+		Fold: m.foldRecord, Truncated: m.truncated, PollWait: opts.PollWait, Pace: opts.Pace, Log: opts.Log,
 	})
 	m.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamLease, Clock: opts.Clock,
--- a/pkg/lease/records.go
+++ b/pkg/lease/records.go
@@ -14,6 +14,8 @@
 	EngineOrders   Duty = "engine-orders"
 	EndpointOrders Duty = "endpoint-orders"
 	UsageReports   Duty = "usage-reports"
+	// Coordination covers the three others, where one process does them all.
+	Coordination Duty = "coordination"
 )
 
 // Key names one lease.
--- /dev/null
+++ b/pkg/loadshare/loadshare.go
@@ -0,0 +1,264 @@
+// Package loadshare tells the other entry hosts what this one sends to engines,
+// so that many hosts that decide at once do not choose the same engine.
+//
+// State: the peers' addresses and when each was last heard. Reports travel as
+// datagrams: one that is lost is missed by the receiver's view of the engines
+// and by nothing else. Nothing that is billed, ordered or promised depends on
+// them. Reports are collected for a time that grows with the number of peers,
+// which bounds the datagrams that one host receives each second.
+//
+// Datagrams are used in place of QUIC streams because a report is worth nothing
+// once it is late, and the platform provides no keys for links between hosts.
+package loadshare
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+)
+
+const (
+	// collectPerPeer is the time of collection for each peer, minCollect the
+	// least. With 80 peers a host receives about 250 datagrams a second.
+	collectPerPeer = 4 * time.Millisecond
+	minCollect     = 4 * time.Millisecond
+	// heartbeat is the longest time between two datagrams to a peer; a peer that
+	// was not heard for aliveFor does not count as a host.
+	heartbeat = time.Second
+	aliveFor  = 3500 * time.Millisecond
+	// maxDatagramBytes keeps a datagram inside one packet.
+	maxDatagramBytes = 1300
+	// sendBytes is the usual size of one report, for cutting datagrams.
+	sendBytes = 110
+	// maxQueued bounds the reports that wait; older ones are worth least.
+	maxQueued = 512
+)
+
+// message is one datagram.
+type message struct {
+	_       struct{} `cbor:",toarray"`
+	Host    string
+	Reports []report
+}
+
+// report is a placement.Sent of a service, or an engine that changes its role.
+type report struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Engine  string
+	// Phase is 1 for prefill and 2 for decode sends.
+	Phase      uint8
+	WorkMicros int64
+	Late       bool
+	Parts      []uint64
+	Sizes      []int
+	Tokens     int
+}
+
+const (
+	phasePrefill = 1
+	phaseDecode  = 2
+)
+
+// Options configure a Share.
+type Options struct {
+	// Host is this host's name.
+	Host string
+	Conn net.PacketConn
+	// Observe receives the sends of other hosts.
+	Observe func(service string, sent placement.Sent)
+	Log     log.Interface
+}
+
+// Share exchanges reports. It is safe for concurrent use.
+type Share struct {
+	opts Options
+	wake chan struct{}
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	queue []report
+	peers map[string]*peer
+}
+
+type peer struct {
+	address netip.AddrPort
+	heardAt time.Time
+}
+
+// New returns a share that Run starts.
+func New(opts Options) *Share {
+	return &Share{opts: opts, wake: make(chan struct{}, 1), peers: map[string]*peer{}}
+}
+
+// SetPeer notes the address of a host; this host itself is ignored.
+func (s *Share) SetPeer(host, address string) error {
+	if host == s.opts.Host {
+		return nil
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Wrapf(err, "address of host %s", host)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[host]; p != nil && p.address == parsed {
+		return nil
+	}
+	s.peers[host] = &peer{address: parsed, heardAt: time.Now()}
+	return nil
+}
+
+// RemovePeer drops a host.
+func (s *Share) RemovePeer(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.peers, host)
+}
+
+// Hosts returns the number of hosts that were heard lately, this one included.
+func (s *Share) Hosts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 1
+	for _, p := range s.peers {
+		if time.Since(p.heardAt) < aliveFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Report queues a send for the other hosts.
+func (s *Share) Report(service string, sent placement.Sent) {
+	r := report{Service: service, Engine: sent.EngineID, Phase: phasePrefill, WorkMicros: sent.WorkMicros, Late: sent.Late, Tokens: sent.Tokens}
+	if sent.Role == endpoint.RoleDecode {
+		r.Phase = phaseDecode
+	}
+	for _, p := range sent.Parts {
+		r.Parts = append(r.Parts, p.ID)
+		r.Sizes = append(r.Sizes, p.Tokens)
+	}
+	s.mu.Lock()
+	if len(s.queue) < maxQueued {
+		s.queue = append(s.queue, r)
+	}
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives until ctx ends. The caller closes the connection.
+func (s *Share) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.receive(ctx) })
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = s.opts.Conn.SetReadDeadline(time.Unix(1, 0))
+			wg.Wait()
+			return
+		case <-s.wake:
+			sleep(ctx, s.collect())
+		case <-timer.C:
+		}
+		s.flush()
+		timer.Reset(heartbeat)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (s *Share) collect() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minCollect, time.Duration(len(s.peers))*collectPerPeer)
+}
+
+// flush sends the queued reports to all peers, or an empty datagram.
+func (s *Share) flush() {
+	s.mu.Lock()
+	queue := s.queue
+	s.queue = nil
+	addresses := make([]netip.AddrPort, 0, len(s.peers))
+	for _, p := range s.peers {
+		addresses = append(addresses, p.address)
+	}
+	s.mu.Unlock()
+	for first := true; first || len(queue) > 0; first = false {
+		n := min(len(queue), maxDatagramBytes/sendBytes)
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n]})
+		if err != nil {
+			s.opts.Log.WithError(err).Error("load_report_not_encoded")
+			return
+		}
+		queue = queue[n:]
+		for _, address := range addresses {
+			// A datagram that cannot be sent counts as lost.
+			_, _ = s.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
+		}
+	}
+}
+
+func (s *Share) receive(ctx context.Context) {
+	buf := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		n, _, err := s.opts.Conn.ReadFrom(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				// An error of an earlier datagram's delivery shows up here.
+				sleep(ctx, minCollect)
+			}
+			continue
+		}
+		var m message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			s.opts.Log.WithError(err).Warn("load_report_not_readable")
+			continue
+		}
+		s.apply(m)
+	}
+}
+
+func (s *Share) apply(m message) {
+	s.mu.Lock()
+	p := s.peers[m.Host]
+	if p != nil {
+		p.heardAt = time.Now()
+	}
+	s.mu.Unlock()
+	if p == nil {
+		return
+	}
+	for _, r := range m.Reports {
+		if len(r.Parts) != len(r.Sizes) {
+			continue
+		}
+		sent := placement.Sent{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Late: r.Late, Tokens: r.Tokens}
+		if r.Phase == phaseDecode {
+			sent.Role = endpoint.RoleDecode
+		}
+		for i, id := range r.Parts {
+			sent.Parts = append(sent.Parts, placement.Part{ID: id, Tokens: r.Sizes[i]})
+		}
+		s.opts.Observe(r.Service, sent)
+	}
+}
--- a/pkg/logservice/tail.go
+++ b/pkg/logservice/tail.go
@@ -53,6 +53,9 @@
 	Truncated func(missing, oldest int64)
 	// PollWait is DefaultPollWait if zero.
 	PollWait time.Duration
+	// Pace is the least time between two reads. It bounds the calls on a stream
+	// that many hosts append to; zero reads at once.
+	Pace time.Duration
 	// Log receives log lines; they are dropped if it is nil.
 	Log log.Interface
 }
@@ -192,9 +195,13 @@
 	defer close(t.done)
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		startedAt := t.opts.Clock.Now()
 		err := t.readOnce(ctx)
 		if err == nil {
 			backoff = minBackoff
+			if rest := t.opts.Pace - t.opts.Clock.Since(startedAt); rest > 0 {
+				t.pause(ctx, rest)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,12 +14,15 @@
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/loadshare"
+	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
+	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
 const (
@@ -57,6 +61,11 @@
 	ConfigurationTopic, ConfigurationKey, EndpointsTopic string
 	DecodeConfiguration                                  func([]byte) (routes.Document, error)
 	DecodeEndpoint                                       func(id string, data []byte) (fleet.Member, error)
+	// HostsTopic is where hosts announce themselves to each other.
+	HostsTopic string
+	// Stream keeps the streams of leases and usage.
+	Stream   logservice.Client
+	Platform Platform
 }
 
 // Host is one entry host.
@@ -73,6 +82,8 @@
 	handler  *relay.Handler
 	metrics  *relay.Metrics
 	server   *fasthttp.Server
+	share    *loadshare.Share
+	duties   *duties
 
 	// fleetVersion is the version of the fleet that the models know; it is used
 	// by one goroutine at a time under modelMu.
@@ -109,11 +120,18 @@
 // worth a line each.
 func (quietLogger) Printf(string, ...any) {}
 
-func (h *Host) hosts() int { return 1 }
+// hosts is the number of hosts that serve.
+func (h *Host) hosts() int {
+	if h.share == nil {
+		return 1
+	}
+	return h.share.Hosts()
+}
 
-func (h *Host) sent(string, placement.Sent) {}
+func (h *Host) sent(service string, sent placement.Sent) { h.share.Report(service, sent) }
 
-func (h *Host) ran(string) {}
+// ran counts a request that an endpoint began to run.
+func (h *Host) ran(team string) { h.duties.usage.Add(team, usage.Counts{Requests: 1}) }
 
 // Run serves until ctx ends, then drains and returns.
 func (h *Host) Run(ctx context.Context) error {
@@ -125,11 +143,22 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
+	link, err := net.ListenPacket("udp", net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.LinkPort)))
+	if err != nil {
+		return errors.Wrap(err, "listen for reports of other hosts")
+	}
+	defer func() { _ = link.Close() }()
+	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, Observe: h.observe, Log: h.log})
+	h.duties = newDuties(h, h.adapter.Stream, h.adapter.Platform)
 	work, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { h.handler.Run(work) })
 	wg.Go(func() { h.followConfiguration(work) })
 	wg.Go(func() { h.followEndpoints(work) })
+	wg.Go(func() { h.followHosts(work) })
+	wg.Go(func() { h.announce(work) })
+	wg.Go(func() { h.share.Run(work) })
+	wg.Go(func() { h.duties.run(work) })
 	wg.Go(func() { h.keepHouse(work) })
 	wg.Go(func() { h.serveReady(ready) })
 	wg.Go(func() {
@@ -140,7 +169,9 @@
 	h.log.WithField("domain", h.settings.Domain).WithField("callers", h.settings.CallersAddr).Info("host_started")
 	<-ctx.Done()
 	h.drain(callers)
+	h.withdraw()
 	stop()
+	h.duties.stop()
 	_ = ready.Close()
 	h.client.Close()
 	h.handler.Wait()
--- /dev/null
+++ b/pkg/relayhost/peers.go
@@ -0,0 +1,80 @@
+package relayhost
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+)
+
+const (
+	// hostsWait and hostsPace bound the reads of the other hosts' addresses, which
+	// change only when hosts come and go.
+	hostsWait = 10 * time.Second
+	hostsPace = time.Second
+	// announceTimeout bounds one announcement of this host; announceRetry is the
+	// wait after one that failed.
+	announceTimeout = 2 * time.Second
+	announceRetry   = 500 * time.Millisecond
+)
+
+// followHosts keeps the addresses of the other hosts.
+func (h *Host) followHosts(ctx context.Context) {
+	keyedlog.NewFollower(keyedlog.Options{
+		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic, Wait: hostsWait, Pace: hostsPace,
+		Apply: h.applyHost,
+		Reset: func(records []keyedlog.Record) {
+			for _, r := range records {
+				h.applyHost(r)
+			}
+		},
+		Log: h.log,
+	}).Run(ctx)
+}
+
+func (h *Host) applyHost(r keyedlog.Record) {
+	if r.Dropped {
+		h.share.RemovePeer(r.Key)
+		return
+	}
+	if err := h.share.SetPeer(r.Key, string(r.Value)); err != nil {
+		h.log.WithField("offset", r.Offset).WithError(err).Warn("host_address_not_readable")
+	}
+}
+
+// announce writes this host's address to the store until it succeeds. An address
+// that is written twice does no harm.
+func (h *Host) announce(ctx context.Context) {
+	address := net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.LinkPort))
+	for ctx.Err() == nil {
+		writeCtx, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := h.adapter.Keyed.Write(writeCtx, h.adapter.HostsTopic, h.settings.Host, []byte(address))
+		cancel()
+		if err == nil {
+			return
+		}
+		h.log.WithError(err).Warn("host_not_announced")
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceRetry):
+		}
+	}
+}
+
+// withdraw drops this host's address; the other hosts otherwise send to an
+// address that may be somebody else's.
+func (h *Host) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout/2)
+	defer cancel()
+	if err := h.adapter.Keyed.Write(ctx, h.adapter.HostsTopic, h.settings.Host, nil); err != nil {
+		h.log.WithError(err).Warn("host_not_withdrawn")
+	}
+}
+
+// observe applies a send of another host.
+func (h *Host) observe(service string, sent placement.Sent) {
+	h.models.For(service).Observe(sent, time.Now())
+}
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -42,6 +42,7 @@
 	log         log.Interface
 	clock       clockwork.Clock
 	length      windowLength
+	interval    time.Duration
 	incarnation string
 	batcher     *logservice.Batcher
 	peers       Peers
@@ -57,9 +58,9 @@
 	newest int64
 }
 
-func newCounter(clock clockwork.Clock, length windowLength, incarnation string, b *logservice.Batcher, peers Peers, logger log.Interface) *Counter {
+func newCounter(clock clockwork.Clock, length windowLength, interval time.Duration, incarnation string, b *logservice.Batcher, peers Peers, logger log.Interface) *Counter {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Counter{clock: clock, log: logger, length: length, incarnation: incarnation, batcher: b, peers: peers, cancel: cancel,
+	c := &Counter{clock: clock, log: logger, length: length, interval: interval, incarnation: incarnation, batcher: b, peers: peers, cancel: cancel,
 		windows: map[int64]*window{}, accepted: map[source]Flush{}}
 	c.wg.Go(func() { c.run(ctx) })
 	return c
@@ -106,7 +107,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-c.clock.After(FlushInterval):
+		case <-c.clock.After(c.interval):
 			_ = c.Flush(ctx)
 		}
 	}
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -76,6 +76,8 @@
 	quietFrom time.Time
 	buffer    []closeItem
 	guards    guards
+	// grace and quietTime are those of Options.
+	grace, quietTime time.Duration
 }
 
 func newFold(now time.Time, length windowLength, g guards) *fold {
@@ -91,14 +93,17 @@
 		sure:            true,
 		quietFrom:       now,
 		guards:          g,
+		grace:           Grace,
+		quietTime:       QuietTime,
 	}
 }
 
 // truncated restarts the view at offset start; what was known of closed windows
 // stays.
 func (f *fold) truncated(start int64, now time.Time) {
-	closed, g := f.closed, f.guards
+	closed, g, grace, quietTime := f.closed, f.guards, f.grace, f.quietTime
 	*f = *newFold(now, f.length, g)
+	f.grace, f.quietTime = grace, quietTime
 	f.closed, f.start, f.sure = closed, start, g.trustPartial
 }
 
@@ -307,10 +312,10 @@
 // with counts that ended at least Grace ago, or the last ended one if there are
 // only late counts.
 func (f *fold) due(now time.Time) (int64, bool) {
-	if !f.sure && now.Sub(f.quietFrom) < QuietTime {
+	if !f.sure && now.Sub(f.quietFrom) < f.quietTime {
 		return 0, false
 	}
-	ended := f.length.of(now.Add(-Grace)) - 1
+	ended := f.length.of(now.Add(-f.grace)) - 1
 	oldest, late := ended+1, false
 	see := func(window int64) {
 		switch {
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -61,6 +62,14 @@
 	// Window is the length of a window, the same on all hosts; DefaultWindow if
 	// zero. Windows start at multiples of it in Unix time.
 	Window time.Duration
+	// Windows, if set, takes one report for each window, with all teams, in
+	// place of Interface.
+	Windows WindowInterface
+	// Grace, FlushInterval and QuietTime replace the constants of these names if
+	// they are not zero; they are the same on all hosts.
+	Grace, FlushInterval, QuietTime time.Duration
+	// PollWait and Pace are those of the stream's reader; zero takes its defaults.
+	PollWait, Pace time.Duration
 }
 
 // guards disable single mechanisms, for tests that show that they are needed.
@@ -98,20 +107,22 @@
 	if opts.Log == nil {
 		opts.Log = logging.Discard()
 	}
-	if opts.Window == 0 {
-		opts.Window = DefaultWindow
-	}
+	opts.Window = cmp.Or(opts.Window, DefaultWindow)
+	opts.Grace = cmp.Or(opts.Grace, Grace)
+	opts.FlushInterval = cmp.Or(opts.FlushInterval, FlushInterval)
+	opts.QuietTime = cmp.Or(opts.QuietTime, QuietTime)
 	length := windowLength(opts.Window)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Reporter{opts: opts, cancel: cancel, fold: newFold(opts.Clock.Now(), length, g), pause: pause}
+	r.fold.grace, r.fold.quietTime = opts.Grace, opts.QuietTime
 	r.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Rand: opts.Rand,
-		Fold: r.foldRecord, Truncated: r.truncated, Log: opts.Log,
+		Fold: r.foldRecord, Truncated: r.truncated, PollWait: opts.PollWait, Pace: opts.Pace, Log: opts.Log,
 	})
 	r.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Tail: r.tail, LiveHosts: opts.LiveHosts,
 	})
-	r.Counter = newCounter(opts.Clock, length, opts.Incarnation, r.batcher, opts.Peers, opts.Log)
+	r.Counter = newCounter(opts.Clock, length, opts.FlushInterval, opts.Incarnation, r.batcher, opts.Peers, opts.Log)
 	r.wg.Go(func() { r.run(ctx) })
 	return r
 }
@@ -179,7 +190,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	window, ok := r.fold.due(now)
-	if !ok || readAt.Before(r.length.end(window).Add(Grace)) {
+	if !ok || readAt.Before(r.length.end(window).Add(r.opts.Grace)) {
 		return logservice.Entry{}, closeRecord{}, false
 	}
 	r.lastID++
@@ -219,8 +230,7 @@
 }
 
 func (r *Reporter) sendWindow(ctx context.Context, window int64) error {
-	for _, report := range r.reports(window) {
-		receiver := reportReceiver{usage: r.opts.Interface, report: report}
+	for _, receiver := range r.receivers(window) {
 		if err := r.opts.Sender.Send(ctx, r.opts.Key, receiver); err != nil {
 			return err
 		}
@@ -239,6 +249,21 @@
 	return steperr.Wrap(err, "record reported window", "log service")
 }
 
+// receivers lists the receivers of a window's reports, one of each report.
+func (r *Reporter) receivers(window int64) []orders.Receiver {
+	if r.opts.Windows != nil {
+		if report, ok := r.windowReport(window); ok {
+			return []orders.Receiver{windowReceiver{windows: r.opts.Windows, report: report}}
+		}
+		return nil
+	}
+	var receivers []orders.Receiver
+	for _, report := range r.reports(window) {
+		receivers = append(receivers, reportReceiver{usage: r.opts.Interface, report: report})
+	}
+	return receivers
+}
+
 func (r *Reporter) reports(window int64) []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -281,7 +281,7 @@
 			for i := range hosts {
 				logs[i] = faultlog.New(mem, clock, rand.New(rand.NewSource(1)), faultlog.Rates{})
 				b := logservice.NewBatcher(logservice.BatcherOptions{Client: logs[i], Stream: logservice.StreamUsage, Clock: clock, LiveHosts: func() int { return hosts }})
-				c := newCounter(clock, windowLength(DefaultWindow), fmt.Sprint(i), b, nil, logging.Discard())
+				c := newCounter(clock, windowLength(DefaultWindow), FlushInterval, fmt.Sprint(i), b, nil, logging.Discard())
 				wg.Go(func() {
 					for range 400 { // 8 teams, 100 s
 						for team := range 8 {
