--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -26,7 +26,7 @@
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// readGrace is added to the wait of a read before it is given up.
-	readGrace = 1500 * time.Millisecond
+	readGrace = 700 * time.Millisecond
 	// newestTimeout bounds the reading of all keys.
 	newestTimeout = 3 * time.Second
 )
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -15,7 +15,7 @@
 // followConfiguration keeps the newest configuration in force.
 func (h *Host) followConfiguration(ctx context.Context) {
 	keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.ConfigurationTopic, Wait: configurationWait,
+		Client: h.adapter.Keyed, Topic: h.adapter.ConfigurationTopic, Wait: storeWait,
 		Apply: h.applyConfiguration,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
@@ -58,7 +58,7 @@
 // followEndpoints keeps the fleet as announced.
 func (h *Host) followEndpoints(ctx context.Context) {
 	keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: endpointsWait, Pace: endpointsPace,
+		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: storeWait, Pace: endpointsPace,
 		Apply: func(r keyedlog.Record) {
 			h.applyEndpoint(r)
 			h.refreshModels()
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -32,14 +32,14 @@
 	// idleLimit is how long connections to endpoints are kept.
 	idleLimit = 8 * time.Second
 	maxIdle   = 24
-	// configurationWait and endpointsWait are how long reads of the store wait
-	// for a record. Keep-alive probes find a connection that goes silent.
-	configurationWait = 8 * time.Second
-	endpointsWait     = 8 * time.Second
-	// endpointsPace bounds the reads of announcements: endpoints announce
-	// themselves all the time, and a leaving one must be known within its drain
-	// time.
-	endpointsPace = 600 * time.Millisecond
+	// storeWait is how long reads of the configuration and of the announcements
+	// wait for a record. A store that has gone silent looks like one without
+	// records, so a read must end within the time in which a configuration has to
+	// be in force after the store's return.
+	storeWait = 1200 * time.Millisecond
+	// endpointsPace bounds the reads while many endpoints change at once; a
+	// leaving one must be known within its drain time.
+	endpointsPace = 100 * time.Millisecond
 	// housekeeping is the interval of work that nothing triggers.
 	housekeeping = 250 * time.Millisecond
 	// readBufferBytes bounds the head of a caller's request.
