--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -27,10 +27,13 @@
 )
 
 const (
-	// collectPerPeer is the time of collection for each peer, minCollect the
-	// least. With 80 peers a host receives about 250 datagrams a second.
-	collectPerPeer = 4 * time.Millisecond
-	minCollect     = 4 * time.Millisecond
+	// collectUnit times the square of the number of peers is the time of
+	// collection: two hosts that decide within it may choose the same engine. With
+	// 8 peers it is shorter than the way to a peer; with 80, a host receives at
+	// most 1,000 datagrams a second.
+	collectUnit = 12 * time.Microsecond
+	// errorPause is the wait after a failed read.
+	errorPause = 10 * time.Millisecond
 	// heartbeat is the longest time between two datagrams to a peer; a peer that
 	// was not heard for aliveFor does not count as a host.
 	heartbeat = time.Second
@@ -190,7 +193,7 @@
 func (s *Share) collect() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(minCollect, time.Duration(len(s.peers))*collectPerPeer)
+	return time.Duration(len(s.peers)*len(s.peers)) * collectUnit
 }
 
 // flush sends the queued reports to all peers, or an empty datagram.
@@ -225,7 +228,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				// An error of an earlier datagram's delivery shows up here.
-				sleep(ctx, minCollect)
+				sleep(ctx, errorPause)
 			}
 			continue
 		}
--- a/pkg/logservice/tail.go
+++ b/pkg/logservice/tail.go
@@ -234,11 +234,16 @@
 }
 
 func (t *Tail) readOnce(ctx context.Context) error {
-	next := t.Status().Next
+	status := t.Status()
+	next, wait := status.Next, t.opts.PollWait
+	if status.ReadToEndAt.IsZero() {
+		// A new process must learn that a quiet stream has no more records.
+		wait = 0
+	}
 	sentAt := t.opts.Clock.Now()
 	readCtx, cancel := clockwork.WithTimeout(ctx, t.opts.Clock, t.opts.PollWait+pollGrace)
 	defer cancel()
-	page, err := t.opts.Client.Read(readCtx, t.opts.Stream, next, pageLimit, t.opts.PollWait)
+	page, err := t.opts.Client.Read(readCtx, t.opts.Stream, next, pageLimit, wait)
 	var truncated *TruncatedError
 	if errors.As(err, &truncated) && truncated.Oldest > next {
 		t.skipTo(truncated.Oldest)
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -53,10 +53,10 @@
 
 // prefillAt is what reading the prompt at e would take.
 func (m *Model) prefillAt(e *engine, job Job, source *engine, most int, now time.Time) Choice {
-	wait := e.wait(now, job.Late)
+	wait := e.wait(now)
 	// What the engine is reading now it will hold when its queue is done.
 	_, own := e.cache.prefix(job.Parts, now)
-	c := Choice{Engine: e.member, Wait: wait}
+	c := Choice{Engine: e.member, Wait: wait, Latency: m.latency}
 	cached := own
 	var copying time.Duration
 	if source != nil && source != e && most-own >= minCopyTokens {
@@ -126,7 +126,7 @@
 	bestCost := time.Duration(-1)
 	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
 		_, own := e.cache.prefix(job.Parts, now)
-		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: max(0, e.allFree.Sub(now))}
+		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: e.wait(now), Latency: m.latency}
 		// A decode engine reads at half the speed, between its streams.
 		c.Work = time.Duration(2 * float64(c.Uncached) / e.speed * float64(time.Second))
 		if cost := c.Expected() + m.pressure(e, now); bestCost < 0 || cost < bestCost {
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -23,6 +23,10 @@
 	// speedMinTokens is the least size of a prompt that measures a speed; in
 	// smaller ones fixed costs outweigh the reading.
 	speedMinTokens = 2500
+	// latencyGain weighs one measurement of the latency.
+	latencyGain = 0.1
+	// firstLatency is taken until one has been measured.
+	firstLatency = 60 * time.Millisecond
 	// waitGain is the part of a difference between expected and seen time that
 	// is taken as work of others.
 	waitGain = 0.6
@@ -42,9 +46,9 @@
 type engine struct {
 	member fleet.Member
 	cache  *cache
-	// urgentFree is when the work that waits and can meet its target is done,
-	// allFree when all work is.
-	urgentFree, allFree time.Time
+	// free is when the prompts that wait are read. Engines read them in the order
+	// of their arrival, whatever their rank.
+	free time.Time
 	// linkFree is when the transfers to the engine are done.
 	linkFree time.Time
 	speed    float64
@@ -81,6 +85,9 @@
 	// The fields below are guarded by mu.
 	engines map[string]*engine
 	physics Physics
+	// latency is what a prefill takes beside the reading, during which the engine
+	// reads other prompts.
+	latency time.Duration
 	// order lists the engines by id, so that ties are broken alike on all hosts.
 	order []*engine
 	work  meter
@@ -88,7 +95,7 @@
 
 // NewModel returns an empty model.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, physics: Physics{CacheTokens: defaultCacheTokens}}
+	return &Model{engines: map[string]*engine{}, physics: Physics{CacheTokens: defaultCacheTokens}, latency: firstLatency}
 }
 
 // SetPhysics sets the declared figures of the engines.
@@ -145,12 +152,8 @@
 
 // wait returns how long new work waits at the engine. An own send that is
 // overdue shows that more work waits than is known.
-func (e *engine) wait(now time.Time, late bool) time.Duration {
-	free := e.urgentFree
-	if late {
-		free = e.allFree
-	}
-	wait := max(0, free.Sub(now))
+func (e *engine) wait(now time.Time) time.Duration {
+	wait := max(0, e.free.Sub(now))
 	for t := range e.inFlight {
 		if t.role == endpoint.RolePrefill {
 			wait = max(wait, now.Sub(t.expected))
@@ -215,13 +218,8 @@
 		e.linkFree = later(e.linkFree, now).Add(work)
 		return e.cache.add(sent.Parts, e.linkFree)
 	}
-	e.allFree = later(e.allFree, now).Add(work)
-	done := e.allFree
-	if !sent.Late {
-		e.urgentFree = later(e.urgentFree, now).Add(work)
-		done = e.urgentFree
-	}
-	return e.cache.add(sent.Parts, done)
+	e.free = later(e.free, now).Add(work)
+	return e.cache.add(sent.Parts, e.free.Add(m.latency))
 }
 
 // Outcome is how a send ended.
@@ -257,21 +255,26 @@
 	case Completed:
 		m.learn(e, t, now)
 	case NotStarted, Failed:
-		e.urgentFree = e.urgentFree.Add(-t.work)
-		e.allFree = e.allFree.Add(-t.work)
+		e.free = e.free.Add(-t.work)
 	}
 }
 
 // learn compares the time that a send took with what was expected. mu must be
 // held.
 func (m *Model) learn(e *engine, t *Ticket, now time.Time) {
-	if t.alone && t.uncached >= speedMinTokens {
-		seen := float64(t.uncached) / now.Sub(t.sentAt).Seconds()
-		e.speed += speedGain * (seen - e.speed)
+	took := now.Sub(t.sentAt)
+	switch {
+	case !t.alone:
+	case t.uncached >= speedMinTokens:
+		if reading := took - m.latency; reading > 0 {
+			seen := float64(t.uncached) / reading.Seconds()
+			e.speed += speedGain * (seen - e.speed)
+		}
+	default:
+		beyond := took - t.work
+		m.latency += time.Duration(latencyGain * float64(beyond-m.latency))
 	}
-	shift := time.Duration(waitGain * float64(now.Sub(t.expected)))
-	e.urgentFree = e.urgentFree.Add(shift)
-	e.allFree = later(e.allFree.Add(shift), e.urgentFree)
+	e.free = e.free.Add(time.Duration(waitGain * float64(now.Sub(t.expected))))
 }
 
 // Forget drops what an engine is expected to hold, after it turned out not to.
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -18,8 +18,7 @@
 	// Parts are the prompt in order; the last one belongs to this request.
 	Parts                      []Part
 	PromptTokens, OutputTokens int
-	// Late work has missed its target, or will; it waits behind work that can
-	// still meet its own.
+	// Late work has missed its target, or will.
 	Late bool
 	// Exclude lists engines that have failed the request.
 	Exclude []string
@@ -46,10 +45,12 @@
 	Copied int
 	// Wait is the expected time until the phase begins, Work its own length.
 	Wait, Work time.Duration
+	// Latency is what the phase takes besides, without keeping the engine busy.
+	Latency time.Duration
 }
 
 // Expected is the time until the phase is expected to be complete.
-func (c Choice) Expected() time.Duration { return c.Wait + c.Work }
+func (c Choice) Expected() time.Duration { return c.Wait + c.Work + c.Latency }
 
 // Sent is one send of this or another host.
 type Sent struct {
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -29,6 +29,11 @@
 	// firstEventTime is what a decode engine usually takes from the send to the
 	// first event, beside the transfer.
 	firstEventTime = 90 * time.Millisecond
+	// Callers abandon a stream that shows nothing for the longest of leastPatience
+	// and these multiples of its targets, also before the first event.
+	leastPatience   = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
 	// lateRank is added to the rank of work that has missed its target, and
 	// lowestRank is the least urgent rank that engines know.
 	lateRank   = 5
@@ -96,21 +101,21 @@
 	expected := g.x.waited() + c.Expected() + firstEventTime
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
-		// Decided anew: late work waits behind more.
-		choice, ok := g.model.Prefill(g.job, g.h.Outliers, time.Now())
-		if ok {
-			c = choice
-		}
 	}
 	g.x.trace["wait_ms"] = c.Wait.Milliseconds()
-	if c.Expected()+firstEventTime <= g.x.left() {
+	over := c.Expected() + firstEventTime - min(g.x.left(), g.patience()-g.x.waited())
+	if over <= 0 {
 		return nil
 	}
-	over := c.Expected() + firstEventTime - g.x.left()
 	return refusal.NotRun(503, refusal.CodeOverloaded, "the request cannot be served in its time").
 		After(g.x.retryAfter(max(over, overloadRetryAfter)))
 }
 
+// patience is how long the caller waits for the first event.
+func (g *generation) patience() time.Duration {
+	return max(leastPatience, patienceTargets*g.x.route.Target, patienceGaps*g.x.route.GapTarget)
+}
+
 func (g *generation) rank() int {
 	rank := g.x.priority
 	if g.job.Late {
