--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 )
@@ -16,6 +19,9 @@
 	farPenalty = 2 * time.Millisecond
 	// minCopyTokens is the least prefix for which a copy is worth its setup.
 	minCopyTokens = 512
+	// spreadRange is the difference in time below which engines count as equally
+	// good. It exceeds what a host's view is behind, and is small beside a target.
+	spreadRange = 12 * time.Millisecond
 	// slotPressure is the extra time of a decode engine whose slots are all taken.
 	slotPressure = 400 * time.Millisecond
 )
@@ -44,6 +50,7 @@
 		c := m.prefillAt(e, job, source, most, now)
 		reread := max(0, coming-(job.PromptTokens-c.Uncached))
 		cost := c.Expected() + time.Duration(rereadWeight*float64(reread)/e.speed*float64(time.Second))
+		cost += spread(job, e)
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -51,6 +58,22 @@
 	return best, true
 }
 
+// spread breaks ties between engines that are equally good: by the prompt's first
+// part, so that hosts that decide at the same moment choose different engines for
+// different prompts and the same one for prompts that share it.
+func spread(job Job, e *engine) time.Duration {
+	if len(job.Parts) == 0 {
+		return 0
+	}
+	var key [8]byte
+	binary.BigEndian.PutUint64(key[:], job.Parts[0].ID)
+	hash := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = hash.Write(key[:])
+	_, _ = hash.WriteString(e.member.ID)
+	return time.Duration(hash.Sum64() % uint64(spreadRange))
+}
+
 // prefillAt is what reading the prompt at e would take.
 func (m *Model) prefillAt(e *engine, job Job, source *engine, most int, now time.Time) Choice {
 	wait := e.wait(now)
