roles: a quarter of the engines generates; changes are known to all hosts

Cause: with one engine in six, two decode engines were overloaded by bursts and by the ejection of one; the change of a third refused 300 requests because only the holder of the lease knew of it, and roles went back and forth.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -58,7 +58,8 @@
 	_       struct{} `cbor:",toarray"`
 	Service string
 	Engine  string
-	// Phase is 1 for prefill and 2 for decode sends.
+	// Phase is 1 for prefill and 2 for decode sends, 3 for an engine that takes no
+	// work for the time in WorkMicros.
 	Phase      uint8
 	WorkMicros int64
 	Late       bool
@@ -70,6 +71,7 @@
 const (
 	phasePrefill = 1
 	phaseDecode  = 2
+	phaseBlocked = 3
 )
 
 // Options configure a Share.
@@ -79,6 +81,8 @@
 	Conn net.PacketConn
 	// Observe receives the sends of other hosts.
 	Observe func(service string, sent placement.Sent)
+	// Blocked receives the engines that take no work for a time.
+	Blocked func(service, engine string, d time.Duration)
 	Log     log.Interface
 }
 
@@ -151,6 +155,15 @@
 		r.Parts = append(r.Parts, p.ID)
 		r.Sizes = append(r.Sizes, p.Tokens)
 	}
+	s.enqueue(r)
+}
+
+// Block tells the other hosts that an engine takes no work for a time.
+func (s *Share) Block(service, engine string, d time.Duration) {
+	s.enqueue(report{Service: service, Engine: engine, Phase: phaseBlocked, WorkMicros: d.Microseconds()})
+}
+
+func (s *Share) enqueue(r report) {
 	s.mu.Lock()
 	if len(s.queue) < maxQueued {
 		s.queue = append(s.queue, r)
@@ -252,7 +265,11 @@
 		return
 	}
 	for _, r := range m.Reports {
-		if len(r.Parts) != len(r.Sizes) {
+		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
+			continue
+		}
+		if r.Phase == phaseBlocked {
+			s.opts.Blocked(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
 		}
 		sent := placement.Sent{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Late: r.Late, Tokens: r.Tokens}
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -171,7 +171,7 @@
 func (m *Model) candidates(role endpoint.Role, job Job, health Health, now time.Time) []*engine {
 	var sound, suspect []*engine
 	for _, e := range m.order {
-		if e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) {
+		if now.Before(e.blockedUntil) || e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) {
 			continue
 		}
 		if health.Suspect(e.member.ID, now) {
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -52,6 +52,9 @@
 	// linkFree is when the transfers to the engine are done.
 	linkFree time.Time
 	speed    float64
+	// blockedUntil is when the engine is expected to take work again, after it
+	// refused some or was given an order.
+	blockedUntil time.Time
 	// inFlight holds the own sends that have not been answered.
 	inFlight map[*Ticket]struct{}
 	// streams counts the requests that generate here, of this host; others is
@@ -120,6 +123,10 @@
 	m.order = m.order[:0]
 	for _, member := range members {
 		e := m.engines[member.ID]
+		if e != nil && e.member.Role != member.Role {
+			// The change that blocked it is complete.
+			e.blockedUntil = time.Time{}
+		}
 		if e == nil || e.member.StartedMillis != member.StartedMillis {
 			e = &engine{cache: newCache(m.physics.CacheTokens), inFlight: map[*Ticket]struct{}{}, speed: m.meanSpeed()}
 		}
@@ -277,6 +284,16 @@
 	e.free = e.free.Add(time.Duration(waitGain * float64(now.Sub(t.expected))))
 }
 
+// Block keeps new work from an engine until a time: an order or a refusal says
+// that it will run none before.
+func (m *Model) Block(engineID string, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.engines[engineID]; e != nil {
+		e.blockedUntil = later(e.blockedUntil, until)
+	}
+}
+
 // Forget drops what an engine is expected to hold, after it turned out not to.
 func (m *Model) Forget(engineID string) {
 	m.mu.Lock()
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -12,6 +12,10 @@
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
+// refusalPause is how long an endpoint that refused a request gets no model work:
+// about the time in which one of its requests ends.
+const refusalPause = 250 * time.Millisecond
+
 var (
 	// errForeign reports an answer that belongs to another request.
 	errForeign = errors.New("the answer belongs to another request")
@@ -90,7 +94,8 @@
 		// Other connections to it have probably gone silent as well.
 		h.Client.Drop(m.Address)
 	case certainlyNotRun(err):
-		// A full endpoint is not a broken one.
+		// A full endpoint, or one under an order, is not a broken one.
+		h.Models.For(m.Service).Block(m.ID, now.Add(refusalPause))
 		return
 	}
 	if h.Outliers.Failed(m.ID, severity, now) {
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -163,13 +163,14 @@
 		if s.Engine == nil {
 			continue
 		}
+		switchTime := s.Engine.SwitchTime
 		members := d.host.fleet.Members(s.Name)
-		in := roles.Input{Now: now, Work: d.host.models.For(s.Name).Work(now), Engines: d.engines(members, s.Engine.SwitchTime, now)}
+		in := roles.Input{Now: now, Work: d.host.models.For(s.Name).Work(now), Engines: d.engines(members, switchTime, now)}
 		var wg sync.WaitGroup
 		for _, c := range d.policy.Decide(in) {
 			for _, m := range members {
 				if m.ID == c.Engine {
-					wg.Go(func() { d.order(ctx, m, c.To, in.Work) })
+					wg.Go(func() { d.order(ctx, m, c.To, switchTime, in.Work) })
 				}
 			}
 		}
@@ -186,7 +187,7 @@
 		if m.Role == "" {
 			continue
 		}
-		e := roles.Engine{ID: m.ID, Domain: m.Domain, Role: m.Role, Usable: m.State == endpoint.StateLive && !d.host.outliers.Suspect(m.ID, now)}
+		e := roles.Engine{ID: m.ID, Domain: m.Domain, Role: m.Role, Usable: m.State == endpoint.StateLive}
 		if c, ok := d.changes[m.ID]; ok {
 			e.ChangedAt = c.began
 			e.Changing = m.Role != c.to && now.Sub(c.began) < switchTime+changeSlack
@@ -201,11 +202,11 @@
 }
 
 // order gives one engine its role.
-func (d *duties) order(ctx context.Context, m fleet.Member, to endpoint.Role, work roles.Work) {
+func (d *duties) order(ctx context.Context, m fleet.Member, to endpoint.Role, switchTime time.Duration, work roles.Work) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	fields := log.Fields{"engine": m.ID, "from": string(m.Role), "to": string(to), "prefill_work": work.Prefill, "decode_work": work.Decode}
-	err := d.orderOnce(ctx, m, to, fields)
+	err := d.orderOnce(ctx, m, to, switchTime, fields)
 	if err != nil {
 		step, peer := steperr.StepAndPeer(err)
 		d.host.log.WithFields(fields).WithField("step", step).WithField("peer", peer).WithError(err).Warn("role_not_ordered")
@@ -214,7 +215,7 @@
 	d.host.log.WithFields(fields).Info("role_ordered")
 }
 
-func (d *duties) orderOnce(ctx context.Context, m fleet.Member, to endpoint.Role, fields log.Fields) error {
+func (d *duties) orderOnce(ctx context.Context, m fleet.Member, to endpoint.Role, switchTime time.Duration, fields log.Fields) error {
 	report, err := d.platform.Report(ctx, m)
 	if err != nil {
 		return err
@@ -235,6 +236,9 @@
 	d.mu.Lock()
 	d.changes[m.ID] = change{to: to, began: time.Now()}
 	d.mu.Unlock()
+	// From here on the engine refuses what it has not begun.
+	d.host.blocked(m.Service, m.ID, switchTime)
+	d.host.share.Block(m.Service, m.ID, switchTime)
 	// The condition on the count of orders keeps an unanswered order from taking
 	// effect after a later one.
 	return d.platform.SetRole(ctx, m, to, report.Orders, Authority{Holder: grant.Holder, Fence: grant.Fence})
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -19,6 +19,8 @@
 	// wait after one that failed.
 	announceTimeout = 2 * time.Second
 	announceRetry   = 500 * time.Millisecond
+	// longestBlock bounds how long another host's word keeps an engine unused.
+	longestBlock = 15 * time.Second
 )
 
 // followHosts keeps the addresses of the other hosts.
@@ -78,3 +80,8 @@
 func (h *Host) observe(service string, sent placement.Sent) {
 	h.models.For(service).Observe(sent, time.Now())
 }
+
+// blocked applies the news that an engine takes no work for a time.
+func (h *Host) blocked(service, engine string, d time.Duration) {
+	h.models.For(service).Block(engine, time.Now().Add(min(d, longestBlock)))
+}
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -21,19 +21,20 @@
 	MinDecode int
 	// Use, 0 to 1, is the part of a decode engine that is planned.
 	Use float64
-	// Rest is the least time between two changes of one engine. A decode engine
-	// that is not needed reads prompts again only after that time.
+	// Rest is the least time between two changes of one engine, and between any
+	// change and the next that takes a decode engine away under load.
 	Rest time.Duration
 	// AtOnce bounds the share of the engines that change at the same time while
 	// there is load.
 	AtOnce float64
 }
 
-// DefaultSplitMix returns the strategy in use. One engine in six generates:
+// DefaultSplitMix returns the strategy in use. One engine in four generates:
 // transfers to a decode engine take 10 to 30 ms of its link each, and at the
-// declared loads that share keeps the links below Use.
+// declared loads that share keeps the links at about half of Use, so that a burst
+// needs no change, which takes an engine away for seconds.
 func DefaultSplitMix() SplitMix {
-	return SplitMix{BaseShare: 1.0 / 6, MinDecode: 2, Use: 0.6, Rest: 10 * time.Second, AtOnce: 0.17}
+	return SplitMix{BaseShare: 0.25, MinDecode: 2, Use: 0.6, Rest: 15 * time.Second, AtOnce: 0.17}
 }
 
 // idleWork is the offered work below which changes cost nothing.
@@ -71,16 +72,30 @@
 	}
 	want := p.Decode(in.Work, usable)
 	room := usable
-	if in.Work.Prefill+in.Work.Decode > idleWork {
+	loaded := in.Work.Prefill+in.Work.Decode > idleWork
+	if loaded {
 		room = max(1, int(p.AtOnce*float64(usable))) - changing
 	}
 	from, to, n := prefill, endpoint.RoleDecode, want-len(decode)
 	if n < 0 {
 		from, to, n = decode, endpoint.RolePrefill, -n
+		if loaded && in.Now.Sub(lastChange(in.Engines)) < p.Rest {
+			return nil
+		}
 	}
 	return p.pick(in, from, to, min(n, room), inDomain)
 }
 
+func lastChange(engines []Engine) time.Time {
+	var last time.Time
+	for _, e := range engines {
+		if e.ChangedAt.After(last) {
+			last = e.ChangedAt
+		}
+	}
+	return last
+}
+
 // pick takes up to n engines, such that the decode engines stay spread over the
 // failure domains, idle ones first.
 func (p SplitMix) pick(in Input, from []Engine, to endpoint.Role, n int, inDomain map[string]int) []Change {
