relayhost: close idle connections of callers once the rotation time has passed

Cause: a caller reused a connection 5.6 s after SIGTERM; its stream was cut when the process ended inside its grace time.

--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -32,7 +32,7 @@
 		if r := x.ended(); r != nil {
 			return r
 		}
-		member, ok := h.Balancer.Pick(h.members(x.service), tried, h.Outliers, time.Now())
+		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.Outliers, time.Now())
 		if !ok {
 			return h.exhausted(x, last)
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,6 +25,9 @@
 	// freeTimeout bounds the freeing of a handle; the engine frees it by itself
 	// after its own time.
 	freeTimeout = time.Second
+	// stopRetryAfter is told to callers of a host that is stopping; the next
+	// connection reaches another host.
+	stopRetryAfter = 20 * time.Millisecond
 	// maxAnswerBytes bounds a plain answer, which is held in memory until whole.
 	maxAnswerBytes = 8 << 20
 )
@@ -52,6 +55,7 @@
 	Options
 	inflight inflight
 	draining atomic.Bool
+	stopping atomic.Bool
 	wg       sync.WaitGroup
 }
 
@@ -77,6 +81,9 @@
 // Drain asks callers to close their connections after the next answer.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// Stop refuses all requests from now on as not run.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
 // InFlight returns the number of requests that are not answered.
 func (h *Handler) InFlight() int { return h.inflight.len() }
 
@@ -115,6 +122,9 @@
 
 // identify finds the route and the team.
 func (h *Handler) identify(x *exchange) *refusal.Refusal {
+	if h.stopping.Load() {
+		return refusal.NotRun(503, refusal.CodeStopping, "the host is stopping").After(stopRetryAfter)
+	}
 	table, err := h.Routes.Current()
 	if err != nil {
 		return refusal.NotRun(503, refusal.CodeNotReady, "the host has no configuration yet").After(time.Second).Because(err)
@@ -144,6 +154,3 @@
 	x.setDeadline()
 	return nil
 }
-
-// member returns the present announcement of an endpoint that may take work.
-func (h *Handler) members(service string) []fleet.Member { return h.Fleet.Members(service) }
--- /dev/null
+++ b/pkg/relayhost/callers.go
@@ -0,0 +1,44 @@
+package relayhost
+
+import (
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// callerConns tracks which connections of callers wait for a request. It is safe
+// for concurrent use.
+type callerConns struct {
+	mu      sync.Mutex
+	idle    map[net.Conn]struct{} // guarded by mu
+	closing bool                  // guarded by mu
+}
+
+func newCallerConns() *callerConns { return &callerConns{idle: map[net.Conn]struct{}{}} }
+
+// changed is the server's callback for the state of a connection.
+func (c *callerConns) changed(conn net.Conn, state fasthttp.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state != fasthttp.StateNew && state != fasthttp.StateIdle {
+		delete(c.idle, conn)
+		return
+	}
+	c.idle[conn] = struct{}{}
+	if c.closing {
+		_ = conn.Close()
+	}
+}
+
+// closeIdle closes the connections that wait for a request, now and from now on.
+// The caller then sends its next request to another host.
+func (c *callerConns) closeIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	for conn := range c.idle {
+		_ = conn.Close()
+	}
+	return len(c.idle)
+}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -82,6 +82,7 @@
 	handler  *relay.Handler
 	metrics  *relay.Metrics
 	server   *fasthttp.Server
+	conns    *callerConns
 	share    *loadshare.Share
 	duties   *duties
 
@@ -106,8 +107,9 @@
 		Budget: retry.NewShared(settings.Repeats, h.hosts), Client: h.client,
 		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
 	})
+	h.conns = newCallerConns()
 	h.server = &fasthttp.Server{
-		Handler: h.handler.Handle, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
+		Handler: h.handler.Handle, ConnState: h.conns.changed, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, Logger: quietLogger{},
 	}
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -44,8 +44,9 @@
 
 // drain ends the service without cutting a request: the host reports that it is
 // not ready, asks callers to close their connections with the next answer, goes
-// on until the load balancer sends no new ones, and then waits for the requests
-// in flight as long as its grace time allows.
+// on until the load balancer sends no new ones, then closes the connections that
+// wait for a request, and waits for the requests in flight as long as its grace
+// time allows. A request that comes later would not be answered in time.
 func (h *Host) drain(callers net.Listener) {
 	started := time.Now()
 	h.log.WithField("in_flight", h.handler.InFlight()).Info("host_draining")
@@ -53,6 +54,9 @@
 	h.handler.Drain()
 	time.Sleep(min(rotationTime, h.settings.Grace/2))
 	_ = callers.Close()
+	h.handler.Stop()
+	closed := h.conns.closeIdle()
+	h.log.WithField("in_flight", h.handler.InFlight()).WithField("idle_closed", closed).Info("host_closing_connections")
 	for h.handler.InFlight() > 0 && time.Since(started) < h.settings.Grace-stopMargin {
 		time.Sleep(drainInterval)
 	}
--- a/pkg/usage/windows.go
+++ b/pkg/usage/windows.go
@@ -55,7 +55,7 @@
 // Connect returns a connection that opens with the send: an order without an
 // answer does no harm here.
 func (w windowReceiver) Connect(context.Context, string) (orders.Conn, error) {
-	return windowConn{w.windows, w.report}, nil
+	return windowConn(w), nil
 }
 
 type windowConn struct {
