placement: fit latency and speed of prefills together; shorten the lease

Cause: a latency of 60 ms that was assumed beside the reading made small prompts look as if read at 500,000 tokens a second, so engines seemed idle that were not.

--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -49,7 +49,7 @@
 	for _, e := range candidates {
 		c := m.prefillAt(e, job, source, most, now)
 		reread := max(0, coming-(job.PromptTokens-c.Uncached))
-		cost := c.Expected() + time.Duration(rereadWeight*float64(reread)/e.speed*float64(time.Second))
+		cost := c.Expected() + time.Duration(rereadWeight*float64(m.speed.reading(reread, e.factor)))
 		cost += spread(job, e)
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
@@ -79,16 +79,15 @@
 	wait := e.wait(now)
 	// What the engine is reading now it will hold when its queue is done.
 	_, own := e.cache.prefix(job.Parts, now)
-	c := Choice{Engine: e.member, Wait: wait, Latency: m.latency}
+	c := Choice{Engine: e.member, Wait: wait, Latency: m.speed.latency}
 	cached := own
-	var copying time.Duration
 	if source != nil && source != e && most-own >= minCopyTokens {
 		c.Source, c.Copied = source.member, most-own
-		copying = m.physics.copyTime(c.Copied, source.member.Domain != e.member.Domain)
+		c.Copying = m.physics.copyTime(c.Copied, source.member.Domain != e.member.Domain)
 		cached = most
 	}
 	c.Uncached = max(job.PromptTokens-cached, 1)
-	c.Work = copying + time.Duration(float64(c.Uncached)/e.speed*float64(time.Second))
+	c.Work = c.Copying + m.speed.reading(c.Uncached, e.factor)
 	return c
 }
 
@@ -149,9 +148,9 @@
 	bestCost := time.Duration(-1)
 	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
 		_, own := e.cache.prefix(job.Parts, now)
-		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: e.wait(now), Latency: m.latency}
+		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: e.wait(now), Latency: m.speed.latency}
 		// A decode engine reads at half the speed, between its streams.
-		c.Work = time.Duration(2 * float64(c.Uncached) / e.speed * float64(time.Second))
+		c.Work = 2 * m.speed.reading(c.Uncached, e.factor)
 		if cost := c.Expected() + m.pressure(e, now); bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
 		}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -9,24 +9,12 @@
 )
 
 const (
-	// defaultSpeedTokens is the prompt tokens a second of an engine that has not
-	// been measured; it is the order of magnitude of today's engines.
-	defaultSpeedTokens = 50_000
 	// defaultCacheTokens is used as long as the service does not say.
 	defaultCacheTokens = 500_000
 	// copySetup is the fixed part of a copy between engines.
 	copySetup = 5 * time.Millisecond
 	// farFactor is how much longer a copy between failure domains takes.
 	farFactor = 2.0
-	// speedGain weighs one measurement of an engine's speed.
-	speedGain = 0.2
-	// speedMinTokens is the least size of a prompt that measures a speed; in
-	// smaller ones fixed costs outweigh the reading.
-	speedMinTokens = 2500
-	// latencyGain weighs one measurement of the latency.
-	latencyGain = 0.1
-	// firstLatency is taken until one has been measured.
-	firstLatency = 60 * time.Millisecond
 	// waitGain is the part of a difference between expected and seen time that
 	// is taken as work of others.
 	waitGain = 0.6
@@ -51,7 +39,8 @@
 	free time.Time
 	// linkFree is when the transfers to the engine are done.
 	linkFree time.Time
-	speed    float64
+	// factor is how much longer it takes than the fleet's mean.
+	factor float64
 	// blockedUntil is when the engine is expected to take work again, after it
 	// refused some or was given an order.
 	blockedUntil time.Time
@@ -73,7 +62,9 @@
 	// alone says that no other work was known at the engine, so that the time
 	// measures its speed.
 	alone bool
-	work  time.Duration
+	// copying is the part of the work that is no reading.
+	copying time.Duration
+	work    time.Duration
 	// added are the parts that the engine will hold only because of this send.
 	added []uint64
 }
@@ -88,9 +79,7 @@
 	// The fields below are guarded by mu.
 	engines map[string]*engine
 	physics Physics
-	// latency is what a prefill takes beside the reading, during which the engine
-	// reads other prompts.
-	latency time.Duration
+	speed   speed
 	// order lists the engines by id, so that ties are broken alike on all hosts.
 	order []*engine
 	work  meter
@@ -98,7 +87,7 @@
 
 // NewModel returns an empty model.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, physics: Physics{CacheTokens: defaultCacheTokens}, latency: firstLatency}
+	return &Model{engines: map[string]*engine{}, physics: Physics{CacheTokens: defaultCacheTokens}, speed: newSpeed()}
 }
 
 // SetPhysics sets the declared figures of the engines.
@@ -128,7 +117,7 @@
 			e.blockedUntil = time.Time{}
 		}
 		if e == nil || e.member.StartedMillis != member.StartedMillis {
-			e = &engine{cache: newCache(m.physics.CacheTokens), inFlight: map[*Ticket]struct{}{}, speed: m.meanSpeed()}
+			e = &engine{cache: newCache(m.physics.CacheTokens), inFlight: map[*Ticket]struct{}{}, factor: 1}
 		}
 		e.member = member
 		next[member.ID] = e
@@ -137,19 +126,6 @@
 	m.engines = next
 }
 
-// meanSpeed must be called with mu held.
-func (m *Model) meanSpeed() float64 {
-	sum, n := 0.0, 0
-	for _, e := range m.engines {
-		sum += e.speed
-		n++
-	}
-	if n == 0 {
-		return defaultSpeedTokens
-	}
-	return sum / float64(n)
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -187,7 +163,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	sent := Sent{EngineID: c.Engine.ID, Role: role, WorkMicros: c.Work.Microseconds(), Late: job.Late, Parts: job.Parts, Tokens: job.PromptTokens}
-	t := &Ticket{engineID: c.Engine.ID, role: role, sentAt: now, expected: now.Add(c.Expected()), uncached: c.Uncached, work: c.Work}
+	t := &Ticket{engineID: c.Engine.ID, role: role, sentAt: now, expected: now.Add(c.Expected()), uncached: c.Uncached, work: c.Work, copying: c.Copying}
 	e := m.engines[c.Engine.ID]
 	if e == nil {
 		return t, sent
@@ -226,7 +202,7 @@
 		return e.cache.add(sent.Parts, e.linkFree)
 	}
 	e.free = later(e.free, now).Add(work)
-	return e.cache.add(sent.Parts, e.free.Add(m.latency))
+	return e.cache.add(sent.Parts, e.free.Add(m.speed.latency))
 }
 
 // Outcome is how a send ended.
@@ -269,17 +245,8 @@
 // learn compares the time that a send took with what was expected. mu must be
 // held.
 func (m *Model) learn(e *engine, t *Ticket, now time.Time) {
-	took := now.Sub(t.sentAt)
-	switch {
-	case !t.alone:
-	case t.uncached >= speedMinTokens:
-		if reading := took - m.latency; reading > 0 {
-			seen := float64(t.uncached) / reading.Seconds()
-			e.speed += speedGain * (seen - e.speed)
-		}
-	default:
-		beyond := took - t.work
-		m.latency += time.Duration(latencyGain * float64(beyond-m.latency))
+	if t.alone {
+		e.factor = m.speed.observe(t.uncached, now.Sub(t.sentAt)-t.copying, e.factor)
 	}
 	e.free = e.free.Add(time.Duration(waitGain * float64(now.Sub(t.expected))))
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -24,15 +24,6 @@
 	Exclude []string
 }
 
-// Engine is what a decision knows of an engine.
-type Engine struct {
-	fleet.Member
-	// SpeedTokens is the prompt tokens a second that it reads.
-	SpeedTokens float64
-	// Suspect engines failed recently; they are used if no other is left.
-	Suspect bool
-}
-
 // Choice is an engine for one phase.
 type Choice struct {
 	Engine fleet.Member
@@ -45,6 +36,8 @@
 	Copied int
 	// Wait is the expected time until the phase begins, Work its own length.
 	Wait, Work time.Duration
+	// Copying is the part of Work that the copy from Source takes.
+	Copying time.Duration
 	// Latency is what the phase takes besides, without keeping the engine busy.
 	Latency time.Duration
 }
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -22,21 +22,22 @@
 )
 
 const (
-	// leaseTimes is the lease in multiples of the time within which two hosts
-	// must not take turns; renewals take a third of it.
-	leaseTimes = 2
 	// leaseMargin is added by challengers; clocks of hosts run alike within it.
-	leaseMargin = time.Second
+	// The lease itself is the time within which two hosts must not take turns: a
+	// longer one would leave a report undone when its holder is cut off.
+	leaseMargin = 700 * time.Millisecond
 	// leasePoll and leasePace bound the reads of the lease stream.
-	leasePoll = 3 * time.Second
+	leasePoll = 2 * time.Second
 	leasePace = 400 * time.Millisecond
 	// usageFlush is how often counts are written: what a killed host loses of a
 	// window must stay below the tolerated error of a report.
 	usageFlush = time.Second
 	// usageGrace is the time from the end of a window until its figures are
 	// fixed: a flush, a read and the distance of clocks.
-	usageGrace = 3 * time.Second
-	usagePace  = time.Second
+	usageGrace = 2 * time.Second
+	// usagePace bounds the reads of a stream that all hosts append to; it delays a
+	// report, which is due some windows later.
+	usagePace = 2 * time.Second
 	// usageQuiet is the time without a record after which a host that does not
 	// know which windows are closed goes on; windows are a few seconds long.
 	usageQuiet = 12 * time.Second
@@ -103,7 +104,7 @@
 		Client: stream, Clock: clock, Rand: rand.New(rand.NewSource(random.Int63())),
 		Incarnation: incarnation, Host: h.settings.Host, Address: h.settings.CallersAddr, Keys: []lease.Key{d.key},
 		LiveHosts: h.hosts, HostAbsentFor: func(string) time.Duration { return 0 },
-		Duration: leaseTimes * h.settings.LeaseTime, Margin: leaseMargin, PollWait: leasePoll, Pace: leasePace, Log: h.log,
+		Duration: h.settings.LeaseTime, Margin: leaseMargin, PollWait: leasePoll, Pace: leasePace, Log: h.log,
 	})
 	d.usage = usage.New(usage.Options{
 		Client: stream, Clock: clock, Rand: random, Incarnation: incarnation, LiveHosts: h.hosts,
