--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -24,6 +24,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
 const (
@@ -38,6 +39,9 @@
 	// was not heard for aliveFor does not count as a host.
 	heartbeat = time.Second
 	aliveFor  = 3500 * time.Millisecond
+	// handPeers is the number of hosts that get counts: one of them may be cut off
+	// from the store as well.
+	handPeers = 3
 	// maxDatagramBytes keeps a datagram inside one packet.
 	maxDatagramBytes = 1300
 	// sendBytes is the usual size of one report, for cutting datagrams.
@@ -51,6 +55,7 @@
 	_       struct{} `cbor:",toarray"`
 	Host    string
 	Reports []report
+	Flushes []usage.Flush
 }
 
 // report is a placement.Sent of a service, or an engine that changes its role.
@@ -83,7 +88,9 @@
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
 	Blocked func(service, engine string, d time.Duration)
-	Log     log.Interface
+	// Accept receives counts of a host that does not reach the store.
+	Accept func([]usage.Flush)
+	Log    log.Interface
 }
 
 // Share exchanges reports. It is safe for concurrent use.
@@ -175,6 +182,41 @@
 	}
 }
 
+// Hand implements usage.Peers: it passes counts to handPeers of the hosts that
+// were heard lately. It fails if there is none.
+func (s *Share) Hand(_ context.Context, flushes []usage.Flush) error {
+	addresses := s.alive(handPeers)
+	if len(addresses) == 0 {
+		return errors.New("no other host was heard lately")
+	}
+	for _, f := range flushes {
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Flushes: []usage.Flush{f}})
+		if err != nil {
+			return errors.Wrap(err, "encode counts")
+		}
+		for _, address := range addresses {
+			if _, err := s.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
+				return errors.Wrapf(err, "hand counts to %s", address)
+			}
+		}
+	}
+	return nil
+}
+
+// alive returns the addresses of up to n hosts that were heard lately, in no
+// particular order.
+func (s *Share) alive(n int) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []netip.AddrPort
+	for _, p := range s.peers {
+		if len(addresses) < n && time.Since(p.heardAt) < aliveFor {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
+
 // Run sends and receives until ctx ends. The caller closes the connection.
 func (s *Share) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -264,6 +306,9 @@
 	if p == nil {
 		return
 	}
+	if len(m.Flushes) > 0 {
+		s.opts.Accept(m.Flushes)
+	}
 	for _, r := range m.Reports {
 		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
 			continue
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -33,11 +33,11 @@
 	// window must stay below the tolerated error of a report.
 	usageFlush = time.Second
 	// usageGrace is the time from the end of a window until its figures are
-	// fixed: a flush, a read and the distance of clocks.
-	usageGrace = 2 * time.Second
-	// usagePace bounds the reads of a stream that all hosts append to; it delays a
-	// report, which is due some windows later.
-	usagePace = 2 * time.Second
+	// fixed. A host that is cut off from the store notices it within three
+	// seconds and then hands its counts to others.
+	usageGrace = 3500 * time.Millisecond
+	// usagePace bounds the reads of a stream that all hosts append to.
+	usagePace = time.Second
 	// usageQuiet is the time without a record after which a host that does not
 	// know which windows are closed goes on; windows are a few seconds long.
 	usageQuiet = 12 * time.Second
@@ -109,7 +109,7 @@
 	d.usage = usage.New(usage.Options{
 		Client: stream, Clock: clock, Rand: random, Incarnation: incarnation, LiveHosts: h.hosts,
 		Key: d.key, Leases: d.leases, Sender: orders.NewSender(orders.Options{Clock: clock, Leases: d.leases, Incarnation: incarnation, Log: h.log}),
-		Windows: platform, Log: h.log, Window: h.settings.UsageWindow,
+		Windows: platform, Peers: h.share, Log: h.log, Window: h.settings.UsageWindow,
 		Grace: usageGrace, FlushInterval: usageFlush, QuietTime: usageQuiet, PollWait: leasePoll, Pace: usagePace,
 	})
 	return d
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
 const (
@@ -85,3 +86,6 @@
 func (h *Host) blocked(service, engine string, d time.Duration) {
 	h.models.For(service).Block(engine, time.Now().Add(min(d, longestBlock)))
 }
+
+// accept takes counts of a host that does not reach the store.
+func (h *Host) accept(flushes []usage.Flush) { h.duties.usage.Accept(flushes) }
