--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/clementineshed/clementineshed/pkg/capacity"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/lease"
@@ -72,8 +73,14 @@
 	// SetRole orders a role, on the condition that the engine has accepted as
 	// many orders as expected.
 	SetRole(ctx context.Context, m fleet.Member, role endpoint.Role, expected int64, by Authority) error
+	// Scale orders a number of endpoints of a service. It fails with
+	// ErrNoneAvailable if the platform has none to give.
+	Scale(ctx context.Context, service string, c capacity.Count, by Authority) error
 }
 
+// ErrNoneAvailable reports an order for endpoints that the platform cannot fill.
+var ErrNoneAvailable = errors.New("no endpoint is to be had")
+
 // duties performs what one host at a time may do.
 type duties struct {
 	host     *Host
@@ -82,11 +89,20 @@
 	leases   *lease.Manager
 	usage    *usage.Reporter
 	policy   roles.Policy
+	capacity capacity.FillCheap
 
 	mu sync.Mutex
 	// changes holds when the role of an engine was ordered and to what; guarded
 	// by mu.
 	changes map[string]change
+	// placed holds the last orders for endpoints; it is used by run only.
+	placed map[place]capacity.Placed
+}
+
+// place names a count that can be ordered.
+type place struct {
+	service, domain string
+	kind            int
 }
 
 type change struct {
@@ -99,7 +115,8 @@
 	clock := steadyclock.New()
 	incarnation := h.settings.Host + "/" + uuid.NewString()
 	random := rand.New(rand.NewSource(time.Now().UnixNano()))
-	d := &duties{host: h, platform: platform, key: lease.Key{Duty: lease.Coordination}, policy: roles.DefaultSplitMix(), changes: map[string]change{}}
+	d := &duties{host: h, platform: platform, key: lease.Key{Duty: lease.Coordination}, policy: roles.DefaultSplitMix(),
+		capacity: capacity.DefaultFillCheap(), changes: map[string]change{}, placed: map[place]capacity.Placed{}}
 	d.leases = lease.New(lease.Options{
 		Client: stream, Clock: clock, Rand: rand.New(rand.NewSource(random.Int63())),
 		Incarnation: incarnation, Host: h.settings.Host, Address: h.settings.CallersAddr, Keys: []lease.Key{d.key},
@@ -144,6 +161,11 @@
 		if holds := err == nil; holds != held {
 			held = holds
 			d.host.log.WithField("held", held).WithField("fence", grant.Fence).Info("lease_changed")
+			// What an earlier holder ordered is not known.
+			clear(d.placed)
+		}
+		if held && d.host.settings.OrderServers {
+			d.decideCapacity(ctx)
 		}
 		if held && d.host.settings.OrderEngines {
 			d.decideRoles(ctx)
--- /dev/null
+++ b/pkg/relayhost/scale.go
@@ -0,0 +1,82 @@
+package relayhost
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/capacity"
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/routes"
+)
+
+// decideCapacity compares the wanted numbers of endpoints with the present ones
+// and orders what is due.
+func (d *duties) decideCapacity(ctx context.Context) {
+	table, err := d.host.routes.Current()
+	if err != nil || !d.host.endpointsKnown.Load() {
+		// Without the services or their endpoints nothing can be compared.
+		return
+	}
+	now := time.Now()
+	for _, s := range table.Services() {
+		if s.Scaling == nil {
+			continue
+		}
+		for _, count := range d.capacity.Decide(d.pools(s), now) {
+			d.scale(ctx, s.Name, count, now)
+		}
+	}
+}
+
+// pools describes the service's endpoints by domain.
+func (d *duties) pools(s routes.Service) []capacity.Pool {
+	members := d.host.fleet.Members(s.Name)
+	var pools []capacity.Pool
+	for _, domain := range slices.Sorted(maps.Keys(s.Scaling.DomainPrices)) {
+		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime}
+		for _, m := range members {
+			switch {
+			case m.Domain != domain || m.State == endpoint.StateLeaving:
+			case m.Reclaimable:
+				pool.Reclaimable++
+			default:
+				pool.Durable++
+			}
+		}
+		for kind := range pool.Last {
+			pool.Last[kind] = d.placed[place{s.Name, domain, kind}]
+		}
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
+// scale orders a count.
+func (d *duties) scale(ctx context.Context, service string, c capacity.Count, now time.Time) {
+	fields := log.Fields{"service": service, "domain": c.Domain, "reclaimable": c.Reclaimable, "count": c.Count}
+	grant, err := d.leases.Check(d.key)
+	if err != nil {
+		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err = d.platform.Scale(ctx, service, c, Authority{Holder: grant.Holder, Fence: grant.Fence})
+	kind := capacity.KindDurable
+	if c.Reclaimable {
+		kind = capacity.KindReclaimable
+	}
+	// An order without an answer may be carried out later; it counts as sent.
+	d.placed[place{service, c.Domain, kind}] = capacity.Placed{Sent: true, Count: c.Count, At: now, Refused: errors.Is(err, ErrNoneAvailable)}
+	fields["fence"] = grant.Fence
+	if err != nil {
+		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
+		return
+	}
+	d.host.log.WithFields(fields).Info("endpoints_ordered")
+}
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -29,12 +29,12 @@
 	AtOnce float64
 }
 
-// DefaultSplitMix returns the strategy in use. One engine in four generates:
-// transfers to a decode engine take 10 to 30 ms of its link each, and at the
-// declared loads that share keeps the links at about half of Use, so that a burst
-// needs no change, which takes an engine away for seconds.
+// DefaultSplitMix returns the strategy in use. One engine in six generates, and
+// three at least: transfers to a decode engine take 10 to 30 ms of its link each,
+// and at the declared loads this keeps the links at about half of Use, so that a
+// burst needs no change, which takes an engine away for seconds.
 func DefaultSplitMix() SplitMix {
-	return SplitMix{BaseShare: 0.25, MinDecode: 2, Use: 0.6, Rest: 15 * time.Second, AtOnce: 0.17}
+	return SplitMix{BaseShare: 1.0 / 6, MinDecode: 3, Use: 0.5, Rest: 15 * time.Second, AtOnce: 0.17}
 }
 
 // idleWork is the offered work below which changes cost nothing.
