capacity: one durable engine a domain; keyedlog: shorter delay after a failed read

Cause: durable engines cost five times as much as reclaimable ones, and a domain whose reclaimable engines are withdrawn is 5 of 24. Wait and delay together now stay below 2.6 s.

--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -27,7 +27,7 @@
 // DefaultFillCheap returns the strategy in use. At a fifth of the price, doubling
 // the endpoints costs less than what one slow second in ten loses.
 func DefaultFillCheap() FillCheap {
-	return FillCheap{Durable: 3, Cheap: 0.4, Spare: 1, Retry: 3 * time.Second}
+	return FillCheap{Durable: 1, Cheap: 0.4, Spare: 1, Retry: 3 * time.Second}
 }
 
 // Pool is the endpoints of a service in one domain.
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -24,7 +24,7 @@
 	// minBackoff and maxBackoff bound the delay between failed reads. The upper
 	// bound stays below the time in which a configuration must be in force.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
 	// readGrace is added to the wait of a read before it is given up.
 	readGrace = 700 * time.Millisecond
 	// newestTimeout bounds the reading of all keys.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -36,7 +36,7 @@
 	// wait for a record. A store that has gone silent looks like one without
 	// records, so a read must end within the time in which a configuration has to
 	// be in force after the store's return.
-	storeWait = 2 * time.Second
+	storeWait = 1200 * time.Millisecond
 	// endpointsPace bounds the reads while many endpoints change at once; a
 	// leaving one must be known within its drain time.
 	endpointsPace = 100 * time.Millisecond
