--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -11,6 +11,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -62,10 +64,11 @@
 type Options struct {
 	Client Client
 	Topic  string
-	// Wait is how long one read may wait for a record.
-	Wait time.Duration
-	// Pace is the least time between two reads, which bounds their number.
-	Pace time.Duration
+	// Wait returns how long the next read may wait for a record.
+	Wait func() time.Duration
+	// Pace returns the least time between two reads, which bounds their number;
+	// nil for none.
+	Pace func() time.Duration
 	// Apply receives each change.
 	Apply func(Record)
 	// Reset receives the whole state.
@@ -76,12 +79,47 @@
 	Log      log.Interface
 }
 
-// Follower follows one topic.
+// Follower follows one topic. Run is called once; the other methods are safe for
+// concurrent use.
 type Follower struct {
-	opts    Options
-	next    int64
+	opts Options
+	// next and known are written by Run only.
+	next    atomic.Int64
 	known   bool
 	failing bool
+
+	mu sync.Mutex
+	// cancel ends the read in progress; nil if there is none. It is guarded by mu.
+	cancel context.CancelFunc
+	// interrupted says that Behind ended the read; guarded by mu.
+	interrupted bool
+}
+
+// behindGrace is how long a read may take to show what another host has read: its
+// answer is usually on the way.
+const behindGrace = 250 * time.Millisecond
+
+// Next returns the offset up to which the topic has been followed.
+func (f *Follower) Next() int64 { return f.next.Load() }
+
+// Behind is told that another host has followed the topic up to an offset. If the
+// read in progress does not show the same soon, its connection has gone silent,
+// and another read is begun.
+func (f *Follower) Behind(next int64) {
+	if f.next.Load() >= next {
+		return
+	}
+	time.AfterFunc(behindGrace, func() {
+		if f.next.Load() >= next {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.cancel != nil {
+			f.interrupted = true
+			f.cancel()
+		}
+	})
 }
 
 // NewFollower returns a follower that Run starts.
@@ -104,7 +142,9 @@
 		}
 		backoff = minBackoff
 		f.note(nil)
-		pause(ctx, f.opts.Pace-time.Since(started))
+		if f.opts.Pace != nil {
+			pause(ctx, f.opts.Pace()-time.Since(started))
+		}
 	}
 }
 
@@ -120,7 +160,7 @@
 
 // note logs the first failure of a series and the answer that ends it.
 func (f *Follower) note(err error) {
-	fields := f.opts.Log.WithField("topic", f.opts.Topic).WithField("next", f.next)
+	fields := f.opts.Log.WithField("topic", f.opts.Topic).WithField("next", f.next.Load())
 	if err == nil {
 		if f.failing {
 			fields.Info("store_regained")
@@ -145,9 +185,15 @@
 	if !f.known {
 		return f.reset(ctx)
 	}
-	readCtx, cancel := context.WithTimeout(ctx, f.opts.Wait+readGrace)
+	wait := f.opts.Wait()
+	readCtx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
-	page, err := f.opts.Client.Read(readCtx, f.opts.Topic, f.next, f.opts.Wait)
+	f.setCancel(cancel)
+	page, err := f.opts.Client.Read(readCtx, f.opts.Topic, f.next.Load(), wait)
+	if f.finish() {
+		// The next read begins on another connection.
+		return nil
+	}
 	var truncated *logservice.TruncatedError
 	if errors.As(err, &truncated) {
 		f.known = false
@@ -159,10 +205,24 @@
 	for _, r := range page.Records {
 		f.opts.Apply(r)
 	}
-	f.next = page.Next
+	f.next.Store(page.Next)
 	return nil
 }
 
+func (f *Follower) setCancel(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel, f.interrupted = cancel, false
+}
+
+// finish reports whether the read was interrupted.
+func (f *Follower) finish() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = nil
+	return f.interrupted
+}
+
 func (f *Follower) reset(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
@@ -171,6 +231,7 @@
 		return err
 	}
 	f.opts.Reset(page.Records)
-	f.next, f.known = page.Next, true
+	f.next.Store(page.Next)
+	f.known = true
 	return nil
 }
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -40,8 +40,8 @@
 	heartbeat = time.Second
 	aliveFor  = 3500 * time.Millisecond
 	// handPeers is the number of hosts that get counts: one of them may be cut off
-	// from the store as well.
-	handPeers = 3
+	// from the store.
+	handPeers = 2
 	// maxDatagramBytes keeps a datagram inside one packet.
 	maxDatagramBytes = 1300
 	// sendBytes is the usual size of one report, for cutting datagrams.
@@ -56,6 +56,8 @@
 	Host    string
 	Reports []report
 	Flushes []usage.Flush
+	// Seen holds how far the host has read the store, by topic.
+	Seen map[string]int64
 }
 
 // report is a placement.Sent of a service, or an engine that changes its role.
@@ -88,6 +90,10 @@
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
 	Blocked func(service, engine string, d time.Duration)
+	// Seen returns how far this host has read the store, by topic; Behind is told
+	// how far another one has.
+	Seen   func() map[string]int64
+	Behind func(map[string]int64)
 	// Accept receives counts of a host that does not reach the store.
 	Accept func([]usage.Flush)
 	Log    log.Interface
@@ -140,17 +146,7 @@
 }
 
 // Hosts returns the number of hosts that were heard lately, this one included.
-func (s *Share) Hosts() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 1
-	for _, p := range s.peers {
-		if time.Since(p.heardAt) < aliveFor {
-			n++
-		}
-	}
-	return n
-}
+func (s *Share) Hosts() int { return len(s.Alive()) }
 
 // Report queues a send for the other hosts.
 func (s *Share) Report(service string, sent placement.Sent) {
@@ -182,12 +178,12 @@
 	}
 }
 
-// Hand implements usage.Peers: it passes counts to handPeers of the hosts that
-// were heard lately. It fails if there is none.
-func (s *Share) Hand(_ context.Context, flushes []usage.Flush) error {
-	addresses := s.alive(handPeers)
+// Hand passes counts to up to handPeers of the named hosts. It fails if none of
+// them was heard lately.
+func (s *Share) Hand(hosts []string, flushes []usage.Flush) error {
+	addresses := s.alive(hosts, handPeers)
 	if len(addresses) == 0 {
-		return errors.New("no other host was heard lately")
+		return errors.New("no host that takes counts was heard lately")
 	}
 	for _, f := range flushes {
 		data, err := cbor.Marshal(message{Host: s.opts.Host, Flushes: []usage.Flush{f}})
@@ -203,20 +199,34 @@
 	return nil
 }
 
-// alive returns the addresses of up to n hosts that were heard lately, in no
-// particular order.
-func (s *Share) alive(n int) []netip.AddrPort {
+// alive returns the addresses of the first n named hosts that were heard lately.
+func (s *Share) alive(hosts []string, n int) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var addresses []netip.AddrPort
-	for _, p := range s.peers {
-		if len(addresses) < n && time.Since(p.heardAt) < aliveFor {
+	for _, host := range hosts {
+		p := s.peers[host]
+		if p != nil && len(addresses) < n && time.Since(p.heardAt) < aliveFor {
 			addresses = append(addresses, p.address)
 		}
 	}
 	return addresses
 }
 
+// Alive returns the names of the hosts that were heard lately, this one included,
+// in no particular order.
+func (s *Share) Alive() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{s.opts.Host}
+	for name, p := range s.peers {
+		if time.Since(p.heardAt) < aliveFor {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Run sends and receives until ctx ends. The caller closes the connection.
 func (s *Share) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -263,7 +273,7 @@
 	s.mu.Unlock()
 	for first := true; first || len(queue) > 0; first = false {
 		n := min(len(queue), maxDatagramBytes/sendBytes)
-		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n]})
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Seen: s.opts.Seen()})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("load_report_not_encoded")
 			return
@@ -306,6 +316,9 @@
 	if p == nil {
 		return
 	}
+	if len(m.Seen) > 0 {
+		s.opts.Behind(m.Seen)
+	}
 	if len(m.Flushes) > 0 {
 		s.opts.Accept(m.Flushes)
 	}
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -1,12 +1,16 @@
 package relayhost
 
 import (
+	"cmp"
 	"context"
 	"math/rand"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
@@ -27,6 +31,13 @@
 	// The lease itself is the time within which two hosts must not take turns: a
 	// longer one would leave a report undone when its holder is cut off.
 	leaseMargin = 700 * time.Millisecond
+	// maxCandidates is the number of hosts that stand for the duties: several may
+	// be killed or cut off at once.
+	maxCandidates = 5
+	// hearingTime is the wait of a new process before it stands, reviewInterval
+	// the time between two looks at who does.
+	hearingTime    = 700 * time.Millisecond
+	reviewInterval = time.Second
 	// leasePoll and leasePace bound the reads of the lease stream.
 	leasePoll = 2 * time.Second
 	leasePace = 400 * time.Millisecond
@@ -81,17 +92,22 @@
 // ErrNoneAvailable reports an order for endpoints that the platform cannot fill.
 var ErrNoneAvailable = errors.New("no endpoint is to be had")
 
-// duties performs what one host at a time may do.
+// duties performs what one host at a time may do. Few hosts stand as candidates
+// for it, so that the calls to the store do not grow with the hosts; the others
+// hand their counts of usage to them.
 type duties struct {
 	host     *Host
+	stream   logservice.Client
 	platform Platform
+	clock    *steadyclock.Clock
 	key      lease.Key
-	leases   *lease.Manager
-	usage    *usage.Reporter
-	policy   roles.Policy
+	counter  *usage.Counter
+	roles    roles.Policy
 	capacity capacity.FillCheap
 
 	mu sync.Mutex
+	// candidacy is nil while this host is no candidate; guarded by mu.
+	candidacy *candidacy
 	// changes holds when the role of an engine was ordered and to what; guarded
 	// by mu.
 	changes map[string]change
@@ -99,6 +115,12 @@
 	placed map[place]capacity.Placed
 }
 
+// candidacy is a candidate's claim to the lease and its fold of the usage.
+type candidacy struct {
+	leases *lease.Manager
+	usage  *usage.Reporter
+}
+
 // place names a count that can be ordered.
 type place struct {
 	service, domain string
@@ -110,72 +132,182 @@
 	began time.Time
 }
 
-// newDuties starts the lease and the counting of usage.
+// newDuties starts the counting of usage.
 func newDuties(h *Host, stream logservice.Client, platform Platform) *duties {
-	clock := steadyclock.New()
+	d := &duties{host: h, stream: stream, platform: platform, clock: steadyclock.New(), key: lease.Key{Duty: lease.Coordination},
+		roles: roles.DefaultSplitMix(), capacity: capacity.DefaultFillCheap(), changes: map[string]change{}, placed: map[place]capacity.Placed{}}
+	d.counter = usage.NewCounter(usage.CounterOptions{
+		Client: stream, Clock: d.clock, Incarnation: h.settings.Host + "/" + uuid.NewString(), LiveHosts: h.hosts, Peers: d,
+		Window: h.settings.UsageWindow, FlushInterval: usageFlush, Log: h.log,
+	})
+	return d
+}
+
+// stand makes this host a candidate.
+func (d *duties) stand() *candidacy {
+	h := d.host
 	incarnation := h.settings.Host + "/" + uuid.NewString()
 	random := rand.New(rand.NewSource(time.Now().UnixNano()))
-	d := &duties{host: h, platform: platform, key: lease.Key{Duty: lease.Coordination}, policy: roles.DefaultSplitMix(),
-		capacity: capacity.DefaultFillCheap(), changes: map[string]change{}, placed: map[place]capacity.Placed{}}
-	d.leases = lease.New(lease.Options{
-		Client: stream, Clock: clock, Rand: rand.New(rand.NewSource(random.Int63())),
+	c := &candidacy{}
+	c.leases = lease.New(lease.Options{
+		Client: d.stream, Clock: d.clock, Rand: rand.New(rand.NewSource(random.Int63())),
 		Incarnation: incarnation, Host: h.settings.Host, Address: h.settings.CallersAddr, Keys: []lease.Key{d.key},
 		LiveHosts: h.hosts, HostAbsentFor: func(string) time.Duration { return 0 },
 		Duration: h.settings.LeaseTime, Margin: leaseMargin, PollWait: leasePoll, Pace: leasePace, Log: h.log,
 	})
-	d.usage = usage.New(usage.Options{
-		Client: stream, Clock: clock, Rand: random, Incarnation: incarnation, LiveHosts: h.hosts,
-		Key: d.key, Leases: d.leases, Sender: orders.NewSender(orders.Options{Clock: clock, Leases: d.leases, Incarnation: incarnation, Log: h.log}),
-		Windows: platform, Peers: h.share, Log: h.log, Window: h.settings.UsageWindow,
+	c.usage = usage.New(usage.Options{
+		Client: d.stream, Clock: d.clock, Rand: random, Incarnation: incarnation, LiveHosts: h.hosts,
+		Key: d.key, Leases: c.leases, Sender: orders.NewSender(orders.Options{Clock: d.clock, Leases: c.leases, Incarnation: incarnation, Log: h.log}),
+		Windows: d.platform, Log: h.log, Window: h.settings.UsageWindow,
 		Grace: usageGrace, FlushInterval: usageFlush, QuietTime: usageQuiet, PollWait: leasePoll, Pace: usagePace,
 	})
-	return d
+	h.log.Info("candidacy_begun")
+	return c
 }
 
-// stop flushes the counts and gives the lease up.
-func (d *duties) stop() {
+// end gives the lease up and stops.
+func (d *duties) end(c *candidacy) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout/2)
 	defer cancel()
-	if err := d.usage.Flush(ctx); err != nil {
+	if err := c.usage.Flush(ctx); err != nil {
 		d.host.log.WithError(err).Warn("usage_not_flushed")
 	}
-	d.usage.Close()
-	if err := d.leases.Release(ctx, d.key); err != nil {
+	c.usage.Close()
+	if err := c.leases.Release(ctx, d.key); err != nil {
 		d.host.log.WithError(err).Warn("lease_not_released")
 	}
-	d.leases.Close()
+	c.leases.Close()
+	d.host.log.Info("candidacy_ended")
+}
+
+// stop flushes the counts and gives the lease up. It is called after run has
+// returned.
+func (d *duties) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout/2)
+	defer cancel()
+	if err := d.counter.Close(ctx); err != nil {
+		d.host.log.WithError(err).Warn("usage_not_flushed")
+	}
+	if c := d.current(); c != nil {
+		d.end(c)
+	}
+}
+
+func (d *duties) current() *candidacy {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.candidacy
+}
+
+// candidates returns the hosts that stand, most preferred first: all hosts that
+// hear each other name the same ones, whatever their order of start.
+func (d *duties) candidates() []string {
+	names := d.host.share.Alive()
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), strings.Compare(a, b))
+	})
+	return names[:min(len(names), maxCandidates)]
+}
+
+// Hand implements usage.Peers.
+func (d *duties) Hand(_ context.Context, flushes []usage.Flush) error {
+	candidates := d.candidates()
+	if c := d.current(); c != nil {
+		c.usage.Accept(flushes)
+		// The other candidates are a second way to the store; this host appends
+		// the counts itself if it reaches none of them.
+		if err := d.host.share.Hand(candidates, flushes); err != nil && len(candidates) > 1 {
+			d.host.log.WithError(err).Warn("counts_not_handed")
+		}
+		return nil
+	}
+	return d.host.share.Hand(candidates, flushes)
 }
 
-// run decides on the roles of the engines while this host holds the lease.
+// accept takes counts of other hosts, if this one is a candidate.
+func (d *duties) accept(flushes []usage.Flush) {
+	if c := d.current(); c != nil {
+		c.usage.Accept(flushes)
+	}
+}
+
+// review begins or ends the candidacy. It returns the present one.
+func (d *duties) review(held bool) *candidacy {
+	wanted := slices.Contains(d.candidates(), d.host.settings.Host)
+	c := d.current()
+	switch {
+	case wanted && c == nil:
+		c = d.stand()
+	case !wanted && c != nil && !held:
+		d.setCandidacy(nil)
+		d.end(c)
+		return nil
+	}
+	d.setCandidacy(c)
+	return c
+}
+
+func (d *duties) setCandidacy(c *candidacy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.candidacy = c
+}
+
+// run performs the duties while this host holds the lease.
 func (d *duties) run(ctx context.Context) {
+	// The other hosts are heard within this time; until then each would take
+	// itself for the only candidate.
+	pause(ctx, hearingTime)
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
-	held := false
+	held, reviewed := false, time.Time{}
 	for {
+		if now := time.Now(); now.Sub(reviewed) >= reviewInterval {
+			reviewed = now
+			d.review(held)
+		}
+		held = d.perform(ctx, held)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		grant, err := d.leases.Check(d.key)
-		if holds := err == nil; holds != held {
-			held = holds
-			d.host.log.WithField("held", held).WithField("fence", grant.Fence).Info("lease_changed")
-			// What an earlier holder ordered is not known.
-			clear(d.placed)
-		}
-		if held && d.host.settings.OrderServers {
-			d.decideCapacity(ctx)
-		}
-		if held && d.host.settings.OrderEngines {
-			d.decideRoles(ctx)
-		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// perform decides on what is due if this host holds the lease, and reports
+// whether it does.
+func (d *duties) perform(ctx context.Context, before bool) bool {
+	c := d.current()
+	if c == nil {
+		return false
+	}
+	grant, err := c.leases.Check(d.key)
+	held := err == nil
+	if held != before {
+		d.host.log.WithField("held", held).WithField("fence", grant.Fence).Info("lease_changed")
+		// What an earlier holder ordered is not known.
+		clear(d.placed)
+	}
+	if held && d.host.settings.OrderServers {
+		d.decideCapacity(ctx, c)
+	}
+	if held && d.host.settings.OrderEngines {
+		d.decideRoles(ctx, c)
+	}
+	return held
+}
+
 // decideRoles compares the wanted roles with the present ones and orders the
 // difference.
-func (d *duties) decideRoles(ctx context.Context) {
+func (d *duties) decideRoles(ctx context.Context, candidacy *candidacy) {
 	table, err := d.host.routes.Current()
 	if err != nil {
 		// Nothing is known of the services yet.
@@ -190,10 +322,10 @@
 		members := d.host.fleet.Members(s.Name)
 		in := roles.Input{Now: now, Work: d.host.models.For(s.Name).Work(now), Engines: d.engines(members, switchTime, now)}
 		var wg sync.WaitGroup
-		for _, c := range d.policy.Decide(in) {
+		for _, c := range d.roles.Decide(in) {
 			for _, m := range members {
 				if m.ID == c.Engine {
-					wg.Go(func() { d.order(ctx, m, c.To, switchTime, in.Work) })
+					wg.Go(func() { d.order(ctx, candidacy, m, c.To, switchTime, in.Work) })
 				}
 			}
 		}
@@ -225,11 +357,11 @@
 }
 
 // order gives one engine its role.
-func (d *duties) order(ctx context.Context, m fleet.Member, to endpoint.Role, switchTime time.Duration, work roles.Work) {
+func (d *duties) order(ctx context.Context, c *candidacy, m fleet.Member, to endpoint.Role, switchTime time.Duration, work roles.Work) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	fields := log.Fields{"engine": m.ID, "from": string(m.Role), "to": string(to), "prefill_work": work.Prefill, "decode_work": work.Decode}
-	err := d.orderOnce(ctx, m, to, switchTime, fields)
+	err := d.orderOnce(ctx, c, m, to, switchTime, fields)
 	if err != nil {
 		step, peer := steperr.StepAndPeer(err)
 		d.host.log.WithFields(fields).WithField("step", step).WithField("peer", peer).WithError(err).Warn("role_not_ordered")
@@ -238,7 +370,7 @@
 	d.host.log.WithFields(fields).Info("role_ordered")
 }
 
-func (d *duties) orderOnce(ctx context.Context, m fleet.Member, to endpoint.Role, switchTime time.Duration, fields log.Fields) error {
+func (d *duties) orderOnce(ctx context.Context, c *candidacy, m fleet.Member, to endpoint.Role, switchTime time.Duration, fields log.Fields) error {
 	report, err := d.platform.Report(ctx, m)
 	if err != nil {
 		return err
@@ -246,7 +378,7 @@
 	if report.Busy {
 		return errors.New("another order is in progress")
 	}
-	use, err := d.leases.Begin(d.key)
+	use, err := c.leases.Begin(d.key)
 	if err != nil {
 		return err
 	}
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -1,7 +1,7 @@
 package relayhost
 
 import (
-	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -12,10 +12,52 @@
 	"github.com/clementineshed/clementineshed/pkg/routes"
 )
 
-// followConfiguration keeps the newest configuration in force.
-func (h *Host) followConfiguration(ctx context.Context) {
-	keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.ConfigurationTopic, Wait: storeWait,
+const (
+	// leastWait and mostWait bound how long a read of the store waits for a record,
+	// and waitPerHost is its growth with the hosts. A store that has gone silent
+	// looks like one without records; with the hosts' reads spread over that time,
+	// one of them finds out within waitPerHost, and tells the others. A read must
+	// end within the time in which a configuration has to be in force.
+	leastWait   = 1200 * time.Millisecond
+	mostWait    = 8 * time.Second
+	waitPerHost = 130 * time.Millisecond
+	// pacePerHost times the hosts is the least time between two reads of the
+	// announcements, up to mostPace: many change at once, and a leaving endpoint
+	// must be known within its drain time.
+	pacePerHost = 10 * time.Millisecond
+	mostPace    = 700 * time.Millisecond
+)
+
+// storeWait is how long a read of the store waits for a record.
+func (h *Host) storeWait() time.Duration {
+	wait := min(mostWait, max(leastWait, time.Duration(h.hosts())*waitPerHost))
+	// The spread keeps the hosts' reads apart.
+	return wait - rand.N(wait/4)
+}
+
+// endpointsPace is the least time between two reads of the announcements.
+func (h *Host) endpointsPace() time.Duration {
+	return min(mostPace, time.Duration(h.hosts())*pacePerHost)
+}
+
+// seen returns how far this host has read the store, for the other hosts.
+func (h *Host) seen() map[string]int64 {
+	return map[string]int64{
+		h.adapter.ConfigurationTopic: h.configuration.Next(),
+		h.adapter.EndpointsTopic:     h.endpoints.Next(),
+	}
+}
+
+// behind compares how far another host has read the store.
+func (h *Host) behind(seen map[string]int64) {
+	h.configuration.Behind(seen[h.adapter.ConfigurationTopic])
+	h.endpoints.Behind(seen[h.adapter.EndpointsTopic])
+}
+
+// configurationFollower keeps the newest configuration in force.
+func (h *Host) configurationFollower() *keyedlog.Follower {
+	return keyedlog.NewFollower(keyedlog.Options{
+		Client: h.adapter.Keyed, Topic: h.adapter.ConfigurationTopic, Wait: h.storeWait,
 		Apply: h.applyConfiguration,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
@@ -23,7 +65,7 @@
 			}
 		},
 		Log: h.log,
-	}).Run(ctx)
+	})
 }
 
 func (h *Host) applyConfiguration(r keyedlog.Record) {
@@ -55,10 +97,10 @@
 	}
 }
 
-// followEndpoints keeps the fleet as announced.
-func (h *Host) followEndpoints(ctx context.Context) {
-	keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: storeWait, Pace: endpointsPace,
+// endpointsFollower keeps the fleet as announced.
+func (h *Host) endpointsFollower() *keyedlog.Follower {
+	return keyedlog.NewFollower(keyedlog.Options{
+		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: h.storeWait, Pace: h.endpointsPace,
 		Apply: func(r keyedlog.Record) {
 			h.applyEndpoint(r)
 			h.refreshModels()
@@ -69,7 +111,7 @@
 		},
 		Answered: func() { h.fleet.StoreAnswered(time.Now()) },
 		Log:      h.log,
-	}).Run(ctx)
+	})
 }
 
 func (h *Host) resetEndpoints(records []keyedlog.Record) {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -32,14 +32,6 @@
 	// idleLimit is how long connections to endpoints are kept.
 	idleLimit = 8 * time.Second
 	maxIdle   = 24
-	// storeWait is how long reads of the configuration and of the announcements
-	// wait for a record. A store that has gone silent looks like one without
-	// records, so a read must end within the time in which a configuration has to
-	// be in force after the store's return.
-	storeWait = 1200 * time.Millisecond
-	// endpointsPace bounds the reads while many endpoints change at once; a
-	// leaving one must be known within its drain time.
-	endpointsPace = 100 * time.Millisecond
 	// housekeeping is the interval of work that nothing triggers.
 	housekeeping = 250 * time.Millisecond
 	// readBufferBytes bounds the head of a caller's request.
@@ -83,8 +75,10 @@
 	metrics  *relay.Metrics
 	server   *fasthttp.Server
 	conns    *callerConns
-	share    *loadshare.Share
-	duties   *duties
+	// configuration and endpoints follow the store.
+	configuration, endpoints *keyedlog.Follower
+	share                    *loadshare.Share
+	duties                   *duties
 
 	// fleetVersion is the version of the fleet that the models know; it is used
 	// by one goroutine at a time under modelMu.
@@ -108,6 +102,7 @@
 		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
+	h.configuration, h.endpoints = h.configurationFollower(), h.endpointsFollower()
 	h.server = &fasthttp.Server{
 		Handler: h.handler.Handle, ConnState: h.conns.changed, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, NoDefaultDate: true,
@@ -133,7 +128,7 @@
 func (h *Host) sent(service string, sent placement.Sent) { h.share.Report(service, sent) }
 
 // ran counts a request that an endpoint began to run.
-func (h *Host) ran(team string) { h.duties.usage.Add(team, usage.Counts{Requests: 1}) }
+func (h *Host) ran(team string) { h.duties.counter.Add(team, usage.Counts{Requests: 1}) }
 
 // Run serves until ctx ends, then drains and returns.
 func (h *Host) Run(ctx context.Context) error {
@@ -150,13 +145,13 @@
 		return errors.Wrap(err, "listen for reports of other hosts")
 	}
 	defer func() { _ = link.Close() }()
-	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Log: h.log})
+	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Seen: h.seen, Behind: h.behind, Log: h.log})
 	h.duties = newDuties(h, h.adapter.Stream, h.adapter.Platform)
 	work, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { h.handler.Run(work) })
-	wg.Go(func() { h.followConfiguration(work) })
-	wg.Go(func() { h.followEndpoints(work) })
+	wg.Go(func() { h.configuration.Run(work) })
+	wg.Go(func() { h.endpoints.Run(work) })
 	wg.Go(func() { h.followHosts(work) })
 	wg.Go(func() { h.announce(work) })
 	wg.Go(func() { h.share.Run(work) })
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -27,7 +27,8 @@
 // followHosts keeps the addresses of the other hosts.
 func (h *Host) followHosts(ctx context.Context) {
 	keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic, Wait: hostsWait, Pace: hostsPace,
+		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic,
+		Wait: func() time.Duration { return hostsWait }, Pace: func() time.Duration { return hostsPace },
 		Apply: h.applyHost,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
@@ -88,4 +89,4 @@
 }
 
 // accept takes counts of a host that does not reach the store.
-func (h *Host) accept(flushes []usage.Flush) { h.duties.usage.Accept(flushes) }
+func (h *Host) accept(flushes []usage.Flush) { h.duties.accept(flushes) }
--- a/pkg/relayhost/scale.go
+++ b/pkg/relayhost/scale.go
@@ -16,7 +16,7 @@
 
 // decideCapacity compares the wanted numbers of endpoints with the present ones
 // and orders what is due.
-func (d *duties) decideCapacity(ctx context.Context) {
+func (d *duties) decideCapacity(ctx context.Context, c *candidacy) {
 	table, err := d.host.routes.Current()
 	if err != nil || !d.host.endpointsKnown.Load() {
 		// Without the services or their endpoints nothing can be compared.
@@ -28,7 +28,7 @@
 			continue
 		}
 		for _, count := range d.capacity.Decide(d.pools(s), now) {
-			d.scale(ctx, s.Name, count, now)
+			d.scale(ctx, c, s.Name, count, now)
 		}
 	}
 }
@@ -57,9 +57,9 @@
 }
 
 // scale orders a count.
-func (d *duties) scale(ctx context.Context, service string, c capacity.Count, now time.Time) {
+func (d *duties) scale(ctx context.Context, candidacy *candidacy, service string, c capacity.Count, now time.Time) {
 	fields := log.Fields{"service": service, "domain": c.Domain, "reclaimable": c.Reclaimable, "count": c.Count}
-	grant, err := d.leases.Check(d.key)
+	grant, err := candidacy.leases.Check(d.key)
 	if err != nil {
 		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
 		return
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -34,8 +34,14 @@
 	sequence, flushed int64
 	// dirty is set if counts were added since the last flush was taken.
 	dirty bool
+	// handed counts how often the last flush was handed to peers.
+	handed int
 }
 
+// handRounds is how often a flush is handed to peers before it counts as
+// flushed: peers do not answer, and a datagram may be lost.
+const handRounds = 3
+
 // Counter counts the work that this process delivers. Its methods are safe for
 // concurrent use.
 type Counter struct {
@@ -56,8 +62,10 @@
 	// newest is the latest window that was counted in. A clock that is set back
 	// does not reopen a window whose counts have been flushed.
 	newest int64
-	// cutOff says that the last flush did not reach the log; guarded by mu.
+	// cutOff says that the last flush did not reach the log.
 	cutOff bool
+	// peersFirst hands all flushes to peers and appends them only if that fails.
+	peersFirst bool
 }
 
 func newCounter(clock clockwork.Clock, length windowLength, interval time.Duration, incarnation string, b *logservice.Batcher, peers Peers, logger log.Interface) *Counter {
@@ -73,6 +81,46 @@
 	c.wg.Wait()
 }
 
+// CounterOptions configure a Counter of a host that leaves the appends to other
+// hosts, so that their number does not grow with the hosts.
+type CounterOptions struct {
+	Client      logservice.Client
+	Clock       clockwork.Clock
+	Incarnation string
+	LiveHosts   func() int
+	// Peers takes the flushes; they are appended here only if it fails.
+	Peers Peers
+	// Window and FlushInterval are those of Options.
+	Window, FlushInterval time.Duration
+	Log                   log.Interface
+}
+
+// NewCounter starts a counter. The caller must Close it.
+func NewCounter(opts CounterOptions) *Counter {
+	b := logservice.NewBatcher(logservice.BatcherOptions{
+		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, LiveHosts: opts.LiveHosts,
+	})
+	c := newCounter(opts.Clock, windowLength(opts.Window), opts.FlushInterval, opts.Incarnation, b, opts.Peers, opts.Log)
+	c.setPeersFirst(true)
+	return c
+}
+
+func (c *Counter) setPeersFirst(first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peersFirst = first
+}
+
+// Close appends what is not flushed, whatever was handed to peers, and stops a
+// counter from NewCounter.
+func (c *Counter) Close(ctx context.Context) error {
+	c.setPeersFirst(false)
+	err := c.Flush(ctx)
+	c.close()
+	c.batcher.Close()
+	return err
+}
+
 // Add counts delivered work of a team in the current window.
 func (c *Counter) Add(team string, counts Counts) {
 	c.mu.Lock()
@@ -120,6 +168,14 @@
 // that stops calls it last, after its last Add.
 func (c *Counter) Flush(ctx context.Context) error {
 	flushes := c.take()
+	if len(flushes) > 0 && c.handsFirst() {
+		err := c.peers.Hand(ctx, flushes)
+		if err == nil {
+			c.handed(flushes)
+			return nil
+		}
+		c.log.WithFields(log.Fields{"flushes": len(flushes), "error": err}).Warn("usage_handover_failed")
+	}
 	if c.isCutOff() {
 		// The append would fail late; peers take the counts meanwhile, and a count
 		// that arrives twice counts once.
@@ -150,6 +206,27 @@
 	return first
 }
 
+func (c *Counter) handsFirst() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peersFirst
+}
+
+// handed notes that flushes were handed to peers.
+func (c *Counter) handed(flushes []Flush) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, f := range flushes {
+		w := c.windows[f.Window]
+		if w == nil || w.sequence != f.Sequence {
+			continue
+		}
+		if w.handed++; w.handed >= handRounds {
+			w.flushed = f.Sequence
+		}
+	}
+}
+
 func (c *Counter) isCutOff() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -209,7 +286,7 @@
 	for index, w := range c.windows {
 		if w.dirty {
 			w.sequence++
-			w.dirty = false
+			w.dirty, w.handed = false, 0
 		}
 		if w.flushed < w.sequence {
 			due = append(due, Flush{Incarnation: c.incarnation, Window: index, Sequence: w.sequence, Teams: maps.Clone(w.teams)})
