--- a/cmd/clementineshed-relay/main.go
+++ b/cmd/clementineshed-relay/main.go
@@ -8,14 +8,51 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/urfave/cli/v3"
+
 	"github.com/clementineshed/clementineshed/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := platform.Serve(ctx, os.Getenv(platform.SettingsVariable), os.Stdout); err != nil {
+	settings := &cli.StringFlag{Name: "settings", Usage: "settings file of the process", Sources: cli.EnvVars(platform.SettingsVariable), Required: true}
+	app := &cli.Command{
+		Name:  "clementineshed-relay",
+		Usage: "an entry host of clementineshed on the users' platform",
+		Flags: []cli.Flag{
+			settings,
+			&cli.IntFlag{Name: "metrics-port", Usage: "port that serves the metrics; 0 for none"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			opts := platform.Options{MetricsPort: c.Int("metrics-port"), LogLevel: c.String("log-level")}
+			return platform.Serve(ctx, c.String("settings"), opts, reloads(), os.Stdout)
+		},
+		Commands: []*cli.Command{{
+			Name:  "check",
+			Usage: "check the settings file",
+			Action: func(_ context.Context, c *cli.Command) error {
+				_, err := platform.ReadSettings(c.String("settings"))
+				return err
+			},
+		}},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
+
+// reloads tells of SIGHUP.
+func reloads() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	reload := make(chan struct{})
+	go func() {
+		for range signals {
+			reload <- struct{}{}
+		}
+	}()
+	return reload
+}
--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -8,7 +8,7 @@
 
 // FillCheap keeps a number of durable endpoints in each domain and fills the
 // rest of what may be ordered there with reclaimable ones, as long as these are
-// cheap. The load pattern: bursts that double the work within a second, while an
+// cheap; otherwise it keeps as many durable ones as there were. The load pattern: bursts that double the work within a second, while an
 // ordered endpoint takes seconds to start, and domains whose reclaimable
 // endpoints are withdrawn all at once.
 type FillCheap struct {
@@ -35,6 +35,8 @@
 	Domain string
 	// Durable and Reclaimable count the endpoints that are not leaving.
 	Durable, Reclaimable int
+	// Baseline is the most durable endpoints that were seen there.
+	Baseline int
 	// Min and Max bound both kinds together.
 	Min, Max int
 	// Price is that of a reclaimable endpoint relative to a durable one; zero if
@@ -73,11 +75,12 @@
 func (p FillCheap) Decide(pools []Pool, now time.Time) []Count {
 	var out []Count
 	for _, pool := range pools {
-		durable := max(pool.Min, min(p.Durable, pool.Max))
-		reclaimable := 0
+		durable, reclaimable := pool.Baseline, 0
 		if pool.Price > 0 && pool.Price <= p.Cheap {
+			durable = p.Durable
 			reclaimable = max(0, int(p.Spare*float64(pool.Max))-durable)
 		}
+		durable = max(pool.Min, min(durable, pool.Max))
 		if p.due(pool, KindDurable, durable, pool.Durable, now) {
 			out = append(out, Count{Domain: pool.Domain, Count: durable})
 		}
--- /dev/null
+++ b/pkg/fleet/registry_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func member(id string, started, sequence int64, state endpoint.State) Member {
+	return Member{Endpoint: endpoint.Endpoint{ID: id, Service: "s", State: state}, StartedMillis: started, Sequence: sequence}
+}
+
+// TestOldAnnouncementsAreDropped guards against an endpoint that takes work again
+// because of an announcement from before its leaving, or from before a restart.
+func TestOldAnnouncementsAreDropped(t *testing.T) {
+	r := NewRegistry()
+	steps := []struct {
+		m    Member
+		want Change
+	}{
+		{member("a", 10, 1, endpoint.StateLive), Joined},
+		{member("a", 10, 2, endpoint.StateLeaving), Leaving},
+		{member("a", 10, 1, endpoint.StateLive), Unchanged},
+		{member("a", 20, 1, endpoint.StateLive), Restarted},
+		{member("a", 10, 9, endpoint.StateLeaving), Unchanged},
+	}
+	for i, s := range steps {
+		if got := r.Announce(s.m); got != s.want {
+			t.Errorf("step %d: %q, want %q", i, got, s.want)
+		}
+	}
+	if m, _ := r.Find("a"); m.State != endpoint.StateLive || m.StartedMillis != 20 {
+		t.Errorf("member %+v", m)
+	}
+}
+
+// TestLapsesInAnOutage guards against endpoints that are dropped because their
+// announcements lapsed while the store was away, and against those that stay
+// although they do not come back.
+func TestLapsesInAnOutage(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(member("back", 1, 1, endpoint.StateLive))
+	r.Announce(member("dead", 1, 1, endpoint.StateLive))
+	r.StoreFailed(start)
+	for _, id := range []string{"back", "dead"} {
+		if got := r.Remove(id, start.Add(time.Second)); got != Held {
+			t.Errorf("%s: %q", id, got)
+		}
+	}
+	if gone := r.Expire(start.Add(30 * time.Second)); len(gone) > 0 {
+		t.Errorf("dropped in the outage: %v", gone)
+	}
+	back := start.Add(40 * time.Second)
+	r.StoreAnswered(back)
+	r.Announce(member("back", 1, 2, endpoint.StateLive))
+	if gone := r.Expire(back.Add(OutageGrace / 2)); len(gone) > 0 {
+		t.Errorf("dropped too early: %v", gone)
+	}
+	if gone := r.Expire(back.Add(OutageGrace)); len(gone) != 1 || gone[0] != "dead" {
+		t.Errorf("dropped %v", gone)
+	}
+	if got := r.Remove("back", back.Add(time.Minute)); got != Gone {
+		t.Errorf("without an outage: %q", got)
+	}
+}
+
+// TestReset guards against endpoints that left while records were missed.
+func TestReset(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(member("a", 1, 1, endpoint.StateLive))
+	r.Announce(member("b", 1, 1, endpoint.StateLive))
+	if gone := r.Reset(map[string]bool{"a": true}, start); len(gone) != 1 || gone[0] != "b" || len(r.Members("s")) != 1 {
+		t.Errorf("dropped %v", gone)
+	}
+}
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -113,6 +113,8 @@
 	changes map[string]change
 	// placed holds the last orders for endpoints; it is used by run only.
 	placed map[place]capacity.Placed
+	// baseline holds the most durable endpoints seen; it is used by run only.
+	baseline map[place]int
 }
 
 // candidacy is a candidate's claim to the lease and its fold of the usage.
@@ -135,7 +137,7 @@
 // newDuties starts the counting of usage.
 func newDuties(h *Host, stream logservice.Client, platform Platform) *duties {
 	d := &duties{host: h, stream: stream, platform: platform, clock: steadyclock.New(), key: lease.Key{Duty: lease.Coordination},
-		roles: roles.DefaultSplitMix(), capacity: capacity.DefaultFillCheap(), changes: map[string]change{}, placed: map[place]capacity.Placed{}}
+		roles: roles.DefaultSplitMix(), capacity: capacity.DefaultFillCheap(), changes: map[string]change{}, placed: map[place]capacity.Placed{}, baseline: map[place]int{}}
 	d.counter = usage.NewCounter(usage.CounterOptions{
 		Client: stream, Clock: d.clock, Incarnation: h.settings.Host + "/" + uuid.NewString(), LiveHosts: h.hosts, Peers: d,
 		Window: h.settings.UsageWindow, FlushInterval: usageFlush, Log: h.log,
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -82,6 +82,8 @@
 	h.log.WithFields(log.Fields{"version": document.Version, "offset": r.Offset, "routes": len(document.Routes), "teams": len(document.Teams), "taken": taken}).Info("configuration_read")
 	if taken {
 		h.refreshPhysics(document)
+		h.forgetFleetVersion()
+		h.refreshModels()
 	}
 }
 
@@ -164,6 +166,14 @@
 	h.client.Drop(address)
 }
 
+// forgetFleetVersion has the next refresh tell the models of the whole fleet,
+// because the services may be others.
+func (h *Host) forgetFleetVersion() {
+	h.modelMu.Lock()
+	defer h.modelMu.Unlock()
+	h.fleetVersion = -1
+}
+
 // refreshModels tells the models of the fleet if it has changed.
 func (h *Host) refreshModels() {
 	h.modelMu.Lock()
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -140,6 +140,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
+	metrics, err := h.listenMetrics()
+	if err != nil {
+		return err
+	}
 	link, err := net.ListenPacket("udp", net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.LinkPort)))
 	if err != nil {
 		return errors.Wrap(err, "listen for reports of other hosts")
@@ -158,6 +162,9 @@
 	wg.Go(func() { h.duties.run(work) })
 	wg.Go(func() { h.keepHouse(work) })
 	wg.Go(func() { h.serveReady(ready) })
+	if metrics != nil {
+		wg.Go(func() { h.serveMetrics(metrics) })
+	}
 	wg.Go(func() {
 		if err := h.server.Serve(callers); err != nil && ctx.Err() == nil {
 			h.log.WithError(err).Error("callers_listener_failed")
@@ -170,6 +177,9 @@
 	stop()
 	h.duties.stop()
 	_ = ready.Close()
+	if metrics != nil {
+		_ = metrics.Close()
+	}
 	h.client.Close()
 	h.handler.Wait()
 	wg.Wait()
@@ -177,6 +187,15 @@
 	return nil
 }
 
+// listenMetrics returns nil if no port is set.
+func (h *Host) listenMetrics() (net.Listener, error) {
+	if h.settings.MetricsPort == 0 {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.MetricsPort)))
+	return l, errors.Wrap(err, "listen for requests for metrics")
+}
+
 // keepHouse does the periodic work.
 func (h *Host) keepHouse(ctx context.Context) {
 	ticker := time.NewTicker(housekeeping)
--- /dev/null
+++ b/pkg/relayhost/metrics.go
@@ -0,0 +1,77 @@
+package relayhost
+
+import (
+	"expvar"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/clementineshed/clementineshed/pkg/relay"
+)
+
+// MetricsPath is where the metrics are served, as text.
+const MetricsPath = "/metrics"
+
+// quantiles are those that are served of each histogram.
+var quantiles = []float64{0.5, 0.9, 0.99, 1}
+
+// serveMetrics answers requests for the metrics until the listener closes.
+func (h *Host) serveMetrics(l net.Listener) {
+	server := &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) != MetricsPath {
+				ctx.SetStatusCode(404)
+				return
+			}
+			ctx.SetContentType("text/plain; charset=utf-8")
+			ctx.SetBodyString(h.metricsText())
+		},
+		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, Logger: quietLogger{},
+	}
+	if err := server.Serve(l); err != nil && !h.draining.Load() {
+		h.log.WithError(err).Error("metrics_listener_failed")
+	}
+}
+
+// metricsText renders the metrics: a name and a value in each line.
+func (h *Host) metricsText() string {
+	var b strings.Builder
+	line := func(name string, value any) { fmt.Fprintf(&b, "%s %v\n", name, value) }
+	h.metrics.Requests.Do(func(kv expvar.KeyValue) {
+		line("requests_ended{outcome="+strconv.Quote(kv.Key)+"}", kv.Value)
+	})
+	line("requests_late", h.metrics.Late.Value())
+	line("sends_repeated", h.metrics.Repeats.Value())
+	line("streams_resumed", h.metrics.Resumed.Value())
+	line("requests_in_flight", h.handler.InFlight())
+	line("hosts_heard", h.hosts())
+	line("endpoints_known", h.fleet.Len())
+	line("connections_dialed", h.client.Dials())
+	line("ready", boolNumber(h.ready()))
+	if table, err := h.routes.Current(); err == nil {
+		line("configuration_version", table.Version())
+	}
+	for _, hist := range []struct {
+		name string
+		h    *relay.Histogram
+	}{{"request_seconds", h.metrics.Total}, {"first_byte_seconds", h.metrics.First}, {"prefill_seconds", h.metrics.Prefill}, {"first_event_seconds", h.metrics.FirstEvent}} {
+		for _, q := range quantiles {
+			value, _ := hist.h.Quantile(q)
+			line(fmt.Sprintf("%s{quantile=\"%g\"}", hist.name, q), value.Round(time.Microsecond).Seconds())
+		}
+		_, count := hist.h.Quantile(1)
+		line(hist.name+"_count", count)
+	}
+	return b.String()
+}
+
+func boolNumber(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/pkg/relayhost/scale.go
+++ b/pkg/relayhost/scale.go
@@ -48,6 +48,9 @@
 				pool.Durable++
 			}
 		}
+		at := place{s.Name, domain, capacity.KindDurable}
+		d.baseline[at] = max(d.baseline[at], pool.Durable)
+		pool.Baseline = d.baseline[at]
 		for kind := range pool.Last {
 			pool.Last[kind] = d.placed[place{s.Name, domain, kind}]
 		}
--- a/pkg/relayhost/settings.go
+++ b/pkg/relayhost/settings.go
@@ -14,7 +14,8 @@
 	// CallersAddr takes requests; ReadyAddr answers whether new connections are
 	// welcome.
 	CallersAddr, ReadyAddr string
-	// LinkPort carries reports between hosts, MetricsPort serves the metrics.
+	// LinkPort carries reports between hosts, MetricsPort serves the metrics; zero
+	// serves none.
 	LinkPort, MetricsPort int
 	// MemoryBytes is the limit at which the process is killed.
 	MemoryBytes int64
@@ -39,3 +40,11 @@
 	UsageWindow, UsageDue time.Duration
 	Repeats               retry.SharedLimits
 }
+
+// Reload takes over new settings. Addresses and the identity of a process hold
+// until its end; the bounds of duties and repeats hold until a restart as well, so
+// that one process never acts by two sets of them.
+func (h *Host) Reload(next Settings) {
+	changed := next != h.settings
+	h.log.WithField("changed", changed).Info("settings_reloaded")
+}
--- /dev/null
+++ b/pkg/retry/shared_test.go
@@ -0,0 +1,46 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSharedBudget guards against hosts that together repeat more than the
+// operators allow in any window.
+func TestSharedBudget(t *testing.T) {
+	limits := SharedLimits{Ratio: 0.2, Fixed: 60, Window: 10 * time.Second}
+	const hosts = 6
+	var budgets []*Shared
+	for range hosts {
+		budgets = append(budgets, NewShared(limits, func() int { return hosts }))
+	}
+	start := time.Unix(1_700_000_000, 0)
+	var requests, repeats []time.Time
+	for i := range 6000 {
+		now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+		b := budgets[i%hosts]
+		b.Earn("s", now)
+		requests = append(requests, now)
+		// Every request fails once.
+		if b.Spend("s", now) {
+			repeats = append(repeats, now)
+		}
+	}
+	if len(repeats) < 600 {
+		t.Errorf("%d repeats, want most of what is allowed", len(repeats))
+	}
+	for _, from := range repeats {
+		inWindow := func(times []time.Time) int {
+			n := 0
+			for _, at := range times {
+				if !at.Before(from) && at.Before(from.Add(limits.Window)) {
+					n++
+				}
+			}
+			return n
+		}
+		if r := inWindow(repeats); from.Before(start.Add(20*time.Second)) && float64(r) > limits.Ratio*float64(inWindow(requests))+float64(limits.Fixed) {
+			t.Fatalf("%d repeats from %v", r, from.Sub(start))
+		}
+	}
+}
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -42,9 +42,6 @@
 
 // Decode returns the number of decode engines wanted among n.
 func (p SplitMix) Decode(work Work, n int) int {
-	if n < 2 {
-		return n
-	}
 	base := max(p.MinDecode, int(math.Ceil(p.BaseShare*float64(n)-1e-9)))
 	need := int(math.Ceil(work.Decode/p.Use - 1e-9))
 	return max(1, min(max(base, need), n/2))
@@ -70,6 +67,11 @@
 			prefill = append(prefill, e)
 		}
 	}
+	if usable < 2 {
+		// The rest of the fleet may not have announced itself yet, and one engine
+		// cannot run both phases.
+		return nil
+	}
 	want := p.Decode(in.Work, usable)
 	room := usable
 	loaded := in.Work.Prefill+in.Work.Decode > idleWork
