upstream: tell a request without an answer apart from a broken one; tests

Cause: the library's timeout is no net.Error, so ErrNoAnswer was never reported and connections to a silent endpoint were not dropped.

--- /dev/null
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -0,0 +1,191 @@
+package keyedlog
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/logging"
+	"github.com/clementineshed/clementineshed/pkg/logservice"
+)
+
+// fakeLog is a topic in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []Record
+	first   int64
+	changed chan struct{}
+	// silent reads get no answer.
+	silent bool
+	reads  int
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{changed: make(chan struct{})} }
+
+func (l *fakeLog) put(key, value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, Record{Key: key, Value: []byte(value), Offset: int64(len(l.records)), Dropped: value == ""})
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *fakeLog) Newest(context.Context, string) (Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := map[string]Record{}
+	for _, r := range l.records {
+		newest[r.Key] = r
+	}
+	page := Page{Next: int64(len(l.records))}
+	for _, r := range newest {
+		if !r.Dropped {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Page, error) {
+	l.mu.Lock()
+	l.reads++
+	silent := l.silent
+	l.mu.Unlock()
+	timeout := time.After(wait)
+	for {
+		l.mu.Lock()
+		end, first, changed := int64(len(l.records)), l.first, l.changed
+		l.mu.Unlock()
+		switch {
+		case silent:
+			<-ctx.Done()
+			return Page{}, ctx.Err()
+		case from < first:
+			return Page{}, &logservice.TruncatedError{Oldest: first}
+		case from < end:
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return Page{Records: slices.Clone(l.records[from:]), Next: end}, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return Page{Next: from}, nil
+		case <-ctx.Done():
+			return Page{}, errors.Wrap(ctx.Err(), "read")
+		}
+	}
+}
+
+func (l *fakeLog) Write(context.Context, string, string, []byte) error { return nil }
+
+func (l *fakeLog) setSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
+// state is what a follower has applied.
+type state struct {
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (s *state) apply(r Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values[r.Key] = string(r.Value)
+	if r.Dropped {
+		delete(s.values, r.Key)
+	}
+}
+
+func (s *state) reset(records []Record) {
+	s.mu.Lock()
+	s.values = map[string]string{}
+	s.mu.Unlock()
+	for _, r := range records {
+		s.apply(r)
+	}
+}
+
+func (s *state) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+func follow(t *testing.T, l *fakeLog, wait time.Duration) (*Follower, *state) {
+	t.Helper()
+	s := &state{values: map[string]string{}}
+	f := NewFollower(Options{Client: l, Topic: "t", Wait: func() time.Duration { return wait }, Apply: s.apply, Reset: s.reset, Log: logging.Discard()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, s
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+// TestFollow guards against changes that are missed, also when the records
+// between were dropped.
+func TestFollow(t *testing.T) {
+	l := newFakeLog()
+	l.put("a", "1")
+	f, s := follow(t, l, time.Second)
+	eventually(t, "the first value", func() bool { return s.get("a") == "1" })
+	l.put("a", "2")
+	l.put("b", "3")
+	eventually(t, "the next values", func() bool { return s.get("a") == "2" && s.get("b") == "3" })
+	l.mu.Lock()
+	l.records = append(l.records, Record{Key: "a", Offset: 3, Dropped: true}, Record{Key: "c", Value: []byte("4"), Offset: 4})
+	l.first = 5
+	close(l.changed)
+	l.changed = make(chan struct{})
+	l.mu.Unlock()
+	eventually(t, "the state after records were dropped", func() bool { return s.get("a") == "" && s.get("c") == "4" })
+	if f.Next() != 5 {
+		t.Errorf("next offset %d", f.Next())
+	}
+}
+
+// TestBehind guards against a long read on a connection that has gone silent,
+// while another host has read further.
+func TestBehind(t *testing.T) {
+	l := newFakeLog()
+	l.put("a", "1")
+	f, s := follow(t, l, time.Hour)
+	eventually(t, "the first value", func() bool { return s.get("a") == "1" })
+	l.setSilent(true)
+	l.put("a", "2")
+	eventually(t, "a read that hangs", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.reads >= 2
+	})
+	l.setSilent(false)
+	f.Behind(2)
+	began := time.Now()
+	eventually(t, "the value that another host has read", func() bool { return s.get("a") == "2" })
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("read after %v", took)
+	}
+}
--- /dev/null
+++ b/pkg/loadshare/loadshare_test.go
@@ -0,0 +1,150 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/logging"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/usage"
+)
+
+// node is a share with what it has received.
+type node struct {
+	share *Share
+	conn  net.PacketConn
+
+	mu      sync.Mutex
+	sends   []placement.Sent
+	blocked map[string]time.Duration
+	flushes []usage.Flush
+	seen    map[string]int64
+}
+
+func start(t *testing.T, name string) *node {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{conn: conn, blocked: map[string]time.Duration{}}
+	n.share = New(Options{Host: name, Conn: conn, Log: logging.Discard(),
+		Observe: func(_ string, s placement.Sent) { n.note(func() { n.sends = append(n.sends, s) }) },
+		Blocked: func(_, engine string, d time.Duration) { n.note(func() { n.blocked[engine] = d }) },
+		Accept:  func(f []usage.Flush) { n.note(func() { n.flushes = append(n.flushes, f...) }) },
+		Seen:    func() map[string]int64 { return map[string]int64{"t": 7} },
+		Behind:  func(seen map[string]int64) { n.note(func() { n.seen = seen }) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.share.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = conn.Close()
+	})
+	return n
+}
+
+func (n *node) note(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func connect(t *testing.T, nodes map[string]*node) {
+	t.Helper()
+	for _, a := range nodes {
+		for name, b := range nodes {
+			if err := a.share.SetPeer(name, b.conn.LocalAddr().String()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+// TestReportsArrive guards against sends, blocks and counts that are changed on
+// the way to the other hosts or come back to their sender.
+func TestReportsArrive(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	connect(t, map[string]*node{"a": a, "b": b})
+	sent := placement.Sent{EngineID: "e1", Role: endpoint.RoleDecode, WorkMicros: 1500, Tokens: 900, Parts: []placement.Part{{ID: 1 << 63, Tokens: 600}, {ID: 2, Tokens: 300}}}
+	a.share.Report("llm", sent)
+	a.share.Block("llm", "e2", 3*time.Second)
+	if err := a.share.Hand([]string{"b"}, []usage.Flush{{Incarnation: "a/1", Window: 5, Sequence: 2, Teams: map[string]usage.Counts{"acme": {Requests: 3}}}}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "all reports", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && b.seen["t"] == 7
+	})
+	if !reflect.DeepEqual(b.sends[0], sent) || b.flushes[0].Teams["acme"].Requests != 3 {
+		t.Errorf("got %+v and %+v", b.sends[0], b.flushes[0])
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.sends) > 0 {
+		t.Errorf("the sender got %+v", a.sends)
+	}
+}
+
+// TestBadDatagrams guards against a datagram that stops the receiver, and against
+// reports of hosts that are not known.
+func TestBadDatagrams(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	stranger := start(t, "stranger")
+	connect(t, map[string]*node{"a": a, "b": b})
+	if err := stranger.share.SetPeer("b", b.conn.LocalAddr().String()); err != nil {
+		t.Fatal(err)
+	}
+	stranger.share.Report("llm", placement.Sent{EngineID: "e9", Role: endpoint.RolePrefill})
+	for _, text := range []string{"", "\xff\xff", "\x83\x61a\x81\x01\x80"} {
+		if _, err := a.conn.WriteTo([]byte(text), b.conn.LocalAddr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	a.share.Report("llm", placement.Sent{EngineID: "e1", Role: endpoint.RolePrefill})
+	eventually(t, "a report after the bad datagrams", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.sends) == 1 && b.sends[0].EngineID == "e1"
+	})
+}
+
+// TestSilentHostsAreNotCounted guards against a retry budget that is divided among
+// hosts which are gone.
+func TestSilentHostsAreNotCounted(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	connect(t, map[string]*node{"a": a, "b": b})
+	if n := a.share.Hosts(); n != 2 {
+		t.Errorf("%d hosts", n)
+	}
+	a.share.mu.Lock()
+	a.share.peers["b"].heardAt = time.Now().Add(-aliveFor)
+	a.share.mu.Unlock()
+	if n := a.share.Hosts(); n != 1 {
+		t.Errorf("%d hosts after one fell silent", n)
+	}
+	if err := a.share.Hand([]string{"b"}, nil); err == nil {
+		t.Error("counts were handed to a silent host")
+	}
+}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -261,15 +261,6 @@
 	}
 }
 
-// Forget drops what an engine is expected to hold, after it turned out not to.
-func (m *Model) Forget(engineID string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if e := m.engines[engineID]; e != nil {
-		e.cache = newCache(m.physics.CacheTokens)
-	}
-}
-
 // streaming is the number of requests that generate at the engine.
 func (e *engine) streaming(now time.Time) int {
 	kept := e.ends[:0]
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -11,7 +11,6 @@
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
-	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
 const (
@@ -175,9 +174,6 @@
 		return r
 	}
 	g.job.Exclude = append(g.job.Exclude, c.Engine.ID)
-	if !certainlyNotRun(err) && errors.Is(err, upstream.ErrNoAnswer) {
-		g.model.Forget(c.Engine.ID)
-	}
 	if unsent(err) && len(g.job.Exclude) <= maxUnsent {
 		return nil
 	}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -89,9 +89,12 @@
 	now := time.Now()
 	severity := outlier.Erratic
 	switch {
-	case errors.Is(err, upstream.ErrNoAnswer) || unsent(err):
+	case unsent(err):
 		severity = outlier.Silent
-		// Other connections to it have probably gone silent as well.
+		h.Client.Drop(m.Address)
+	case errors.Is(err, upstream.ErrNoAnswer):
+		// It may be dark or only slow: the next connection tells. Other open ones
+		// may have gone silent as well.
 		h.Client.Drop(m.Address)
 	case certainlyNotRun(err):
 		// A full endpoint, or one under an order, is not a broken one.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -132,8 +132,7 @@
 	head.SetNoDefaultContentType(true)
 	for {
 		if err := head.Read(cn.r); err != nil {
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
+			if isTimeout(err) {
 				return nil, errors.Wrap(ErrNoAnswer, err.Error())
 			}
 			return nil, errors.Wrap(err, "read head")
@@ -152,6 +151,13 @@
 	return a, nil
 }
 
+// isTimeout reports whether a read of a head ran out of time; the library has an
+// error of its own for it, which is no net.Error.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func (a *Answer) frame(cn *conn, method string, head *fasthttp.ResponseHeader) {
 	length := head.ContentLength()
 	switch {
--- /dev/null
+++ b/pkg/upstream/client_test.go
@@ -0,0 +1,247 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
+)
+
+// peer answers each connection with the function, which gets the request's head
+// once it has arrived.
+func peer(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readHead reads a request without a body; false at the end of the connection.
+func readRequest(r *bufio.Reader) bool {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if line == "\r\n" {
+			return true
+		}
+	}
+}
+
+func once(text string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			_, _ = io.WriteString(c, text)
+		}
+	}
+}
+
+func newClient(t *testing.T) *Client {
+	c := New(Options{DialTimeout: time.Second, IdleLimit: time.Second, MaxIdle: 4})
+	t.Cleanup(c.Close)
+	return c
+}
+
+var get = &Request{Method: "GET", Target: "/", Host: "h"}
+
+// TestFraming guards against an answer that is taken as whole although it ended
+// early, and checks each way of framing.
+func TestFraming(t *testing.T) {
+	cases := map[string]struct {
+		answer, body string
+		broken       bool
+	}{
+		"length":               {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "hello", false},
+		"length, cut":          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", "", true},
+		"chunks":               {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", false},
+		"chunks, cut":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", "", true},
+		"chunks, no last one":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "", true},
+		"chunks, no end":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", "", true},
+		"until the close":      {"HTTP/1.1 200 OK\r\n\r\nhello", "hello", false},
+		"after an interim one": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", false},
+		"nothing in it":        {"HTTP/1.1 204 No Content\r\n\r\n", "", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, body, err := newClient(t).Fetch(t.Context(), peer(t, once(c.answer)), get, 1000)
+			if (err != nil) != c.broken || string(body) != c.body {
+				t.Errorf("got %q, %v", body, err)
+			}
+			if c.broken && !errors.Is(err, ErrBroken) {
+				t.Errorf("error %v is not ErrBroken", err)
+			}
+		})
+	}
+}
+
+// TestNoBytesAreNoAnswer guards against bytes that are no HTTP.
+func TestNoBytesAreNoAnswer(t *testing.T) {
+	for _, text := range []string{"", "garbage\r\n\r\n", "\x00\x01\x02"} {
+		if _, _, err := newClient(t).Fetch(t.Context(), peer(t, once(text)), get, 1000); err == nil {
+			t.Errorf("%q is an answer", text)
+		}
+	}
+}
+
+// TestExtraAnswerIsNotUsed guards against an answer that arrives after the one to
+// the request and would be taken for that to the next one.
+func TestExtraAnswerIsNotUsed(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		for readRequest(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+		}
+	})
+	client := newClient(t)
+	for range 3 {
+		_, body, err := client.Fetch(t.Context(), address, get, 1000)
+		if err != nil || string(body) != "own" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// TestConnectionsAreKept guards against a new connection for each request, and
+// against the use of one that the peer has closed.
+func TestConnectionsAreKept(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		for range 2 {
+			if !readRequest(r) {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	client := newClient(t)
+	for range 4 {
+		if _, _, err := client.Fetch(t.Context(), address, get, 1000); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if n := client.Dials(); n != 2 {
+		t.Errorf("%d connections for 4 requests, two on each", n)
+	}
+}
+
+// TestAnnouncedIdleTime guards against the use of a connection that the peer has
+// said it closes.
+func TestAnnouncedIdleTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"timeout=5, max=100": 5*time.Second - keepAliveMargin, "max=3": 0, "": 0, "timeout=0": time.Millisecond,
+	} {
+		if got := announcedIdle(value); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
+
+// TestUnreachedPeer guards against a request that counts as sent although no
+// connection was opened.
+func TestUnreachedPeer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = newClient(t).Do(t.Context(), address, get)
+	var unsent *jsonhttp.NotSentError
+	if !errors.As(err, &unsent) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestSilentPeer guards against a request that waits for a peer that does not
+// answer, and against an error that says it was not sent.
+func TestSilentPeer(t *testing.T) {
+	address := peer(t, func(_ net.Conn, r *bufio.Reader) {
+		for readRequest(r) {
+		}
+	})
+	_, err := newClient(t).Do(t.Context(), address, &Request{Method: "GET", Target: "/", HeadLimit: 50 * time.Millisecond})
+	var unsent *jsonhttp.NotSentError
+	if !errors.Is(err, ErrNoAnswer) || errors.As(err, &unsent) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestCancelClosesTheConnection guards against work that goes on at a peer after
+// the request was cancelled.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address := peer(t, func(_ net.Conn, r *bufio.Reader) {
+		for readRequest(r) {
+		}
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	if _, err := newClient(t).Do(ctx, address, get); err == nil {
+		t.Error("no error")
+	}
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
+
+// TestHopByHopFields guards against fields of one connection that are passed on.
+func TestHopByHopFields(t *testing.T) {
+	in := Fields{{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"Transfer-Encoding", "chunked"}, {"Content-Length", "3"}, {"X-Kept", "2"}}
+	out := in.EndToEnd()
+	if len(out) != 1 || out.Get("x-kept") != "2" {
+		t.Errorf("passed on %v", out)
+	}
+	request := string((&Request{Method: "POST", Target: "/a?b", Host: "h", Fields: out, Body: []byte("abc")}).encode())
+	if want := "POST /a?b HTTP/1.1\r\nHost: h\r\nX-Kept: 2\r\nContent-Length: 3\r\n\r\nabc"; request != want {
+		t.Errorf("request %q", strings.ReplaceAll(request, "\r\n", "|"))
+	}
+}
+
+// FuzzAnswer guards against answers that crash the process or that look whole
+// without a framed end.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, b := net.Pipe()
+		go func() {
+			_, _ = a.Write(data)
+			_ = a.Close()
+		}()
+		defer func() { _ = b.Close() }()
+		cn := &conn{Conn: b, r: bufio.NewReader(b)}
+		answer, err := readHead(cn, "GET")
+		if err != nil {
+			return
+		}
+		_, _ = answer.ReadAll(1 << 16)
+	})
+}
--- /dev/null
+++ b/pkg/usage/windows_test.go
@@ -0,0 +1,62 @@
+package usage
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/logging"
+	"github.com/clementineshed/clementineshed/pkg/logservice"
+)
+
+// takingPeers records what is handed to them.
+type takingPeers struct {
+	mu      sync.Mutex
+	taken   []Flush
+	refuses bool
+}
+
+func (p *takingPeers) Hand(_ context.Context, flushes []Flush) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuses {
+		return errors.New("nobody is there")
+	}
+	p.taken = append(p.taken, flushes...)
+	return nil
+}
+
+// TestCounterHandsToPeers guards against counts that are lost when a datagram is,
+// against hosts that all append to the log, and against counts that nobody takes.
+func TestCounterHandsToPeers(t *testing.T) {
+	memory := logservice.NewMemory(clockwork.NewRealClock())
+	peers := &takingPeers{}
+	c := NewCounter(CounterOptions{Client: memory, Clock: clockwork.NewRealClock(), Incarnation: "a", LiveHosts: func() int { return 1 },
+		Peers: peers, Window: time.Hour, FlushInterval: time.Hour, Log: logging.Discard()})
+	c.Add("acme", Counts{Requests: 2})
+	for range 2 * handRounds {
+		if err := c.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(peers.taken); n != handRounds {
+		t.Errorf("handed %d times, want %d", n, handRounds)
+	}
+	page, err := memory.Read(t.Context(), logservice.StreamUsage, 0, 10, 0)
+	if err != nil || len(page.Records) > 0 {
+		t.Errorf("%d records in the log, %v", len(page.Records), err)
+	}
+	peers.refuses = true
+	c.Add("acme", Counts{Requests: 1})
+	if err := c.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	page, err = memory.Read(t.Context(), logservice.StreamUsage, 0, 10, 0)
+	if err != nil || len(page.Records) != 1 {
+		t.Errorf("%d records in the log after the close, %v", len(page.Records), err)
+	}
+}
