--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -91,35 +91,34 @@
 	mu sync.Mutex
 	// cancel ends the read in progress; nil if there is none. It is guarded by mu.
 	cancel context.CancelFunc
+	// began is when it was sent; guarded by mu.
+	began time.Time
 	// interrupted says that Behind ended the read; guarded by mu.
 	interrupted bool
 }
 
 // behindGrace is how long a read may take to show what another host has read: its
-// answer is usually on the way.
-const behindGrace = 250 * time.Millisecond
+// answer may be on the way, and the store may be slow.
+const behindGrace = 600 * time.Millisecond
 
 // Next returns the offset up to which the topic has been followed.
 func (f *Follower) Next() int64 { return f.next.Load() }
 
 // Behind is told that another host has followed the topic up to an offset. If the
-// read in progress does not show the same soon, its connection has gone silent,
-// and another read is begun.
+// read in progress has not shown the same for a while, its connection has gone
+// silent, and another read is begun. A read that has just begun is left alone:
+// many hosts tell the same at once.
 func (f *Follower) Behind(next int64) {
 	if f.next.Load() >= next {
 		return
 	}
-	time.AfterFunc(behindGrace, func() {
-		if f.next.Load() >= next {
-			return
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.cancel != nil {
-			f.interrupted = true
-			f.cancel()
-		}
-	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil && time.Since(f.began) >= behindGrace {
+		f.interrupted = true
+		f.cancel()
+		f.cancel = nil
+	}
 }
 
 // NewFollower returns a follower that Run starts.
@@ -212,7 +211,7 @@
 func (f *Follower) setCancel(cancel context.CancelFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel, f.interrupted = cancel, false
+	f.cancel, f.began, f.interrupted = cancel, time.Now(), false
 }
 
 // finish reports whether the read was interrupted.
