--- a/pkg/cli/operator.go
+++ b/pkg/cli/operator.go
@@ -15,10 +15,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/clementineshed/clementineshed/pkg/configstore"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/entryhost"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 )
 
 // platformFlags say where an operator's command finds the platform.
@@ -60,7 +60,7 @@
 	clock := clockwork.NewRealClock()
 	return &operatorClient{
 		operator: configstore.NewOperator(logservice.NewFailover(clients...), clock, uuid.NewString),
-		hosts:    &hostClient{tls: hostsTLS, list: platform.NewHostList(jsonhttp.New(c.String("host-list"), platformOptions), clock)},
+		hosts:    &hostClient{tls: hostsTLS, list: endpointapi.NewHostList(jsonhttp.New(c.String("host-list"), platformOptions), clock)},
 		wait:     c.Duration("wait"),
 	}, nil
 }
@@ -76,17 +76,17 @@
 // hostClient asks entry hosts over their operator addresses. It implements
 // configstore.Hosts.
 type hostClient struct {
-	list *platform.HostList
+	list *endpointapi.HostList
 	tls  func(host string) func() *tls.Config
 }
 
 // addresses returns the operator addresses by host name.
-func (h *hostClient) addresses(ctx context.Context) (map[string]platform.Host, error) {
+func (h *hostClient) addresses(ctx context.Context) (map[string]endpointapi.Host, error) {
 	answer, err := h.list.Read(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read host list")
 	}
-	hosts := map[string]platform.Host{}
+	hosts := map[string]endpointapi.Host{}
 	for _, host := range answer.Value.Hosts {
 		hosts[host.Name] = host
 	}
--- a/pkg/dev/cluster.go
+++ b/pkg/dev/cluster.go
@@ -21,10 +21,10 @@
 	"github.com/clementineshed/clementineshed/pkg/configstore"
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/entryhost"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 	"github.com/clementineshed/clementineshed/pkg/roles"
 	"github.com/clementineshed/clementineshed/pkg/settings"
 	"github.com/clementineshed/clementineshed/pkg/standin/engined"
@@ -133,7 +133,7 @@
 }
 
 // startProvisioned is the platform's hook for endpoints that are ordered.
-func (c *Cluster) startProvisioned(e endpoint.Endpoint, order platform.ProvisionOrder) (endpoint.Endpoint, func(), error) {
+func (c *Cluster) startProvisioned(e endpoint.Endpoint, order endpointapi.ProvisionOrder) (endpoint.Endpoint, func(), error) {
 	engine := c.newEngine(e.ID)
 	if err := engine.Listen(loopback); err != nil {
 		return e, nil, err
@@ -306,9 +306,9 @@
 			return err
 		}
 		c.hosts = append(c.hosts, host)
-		c.plat.SetHost(platform.Host{
+		c.plat.SetHost(endpointapi.Host{
 			Name: s.Host.Name, Instance: s.Host.Instance, Domain: domain, PeerAddress: s.Listen.Peers,
-			OperatorAddress: host.OperatorsAddress(), State: platform.HostLive,
+			OperatorAddress: host.OperatorsAddress(), State: endpointapi.HostLive,
 		})
 		c.done.Add(1)
 		go func() {
@@ -376,7 +376,7 @@
 // waitListed waits until the host list shows every host. Without it the
 // operators' commands would find no host to ask.
 func (c *Cluster) waitListed(ctx context.Context) error {
-	list := platform.NewHostList(jsonhttp.New(c.plat.Address(), jsonhttp.Options{}), c.opts.Clock)
+	list := endpointapi.NewHostList(jsonhttp.New(c.plat.Address(), jsonhttp.Options{}), c.opts.Clock)
 	for {
 		answer, err := list.Read(ctx)
 		if err == nil && len(answer.Value.Hosts) == len(c.hosts) {
--- a/pkg/platform/client.go
+++ b/pkg/endpointapi/client.go
@@ -1,4 +1,4 @@
-package platform
+package endpointapi
 
 import (
 	"context"
--- a/pkg/platform/client_test.go
+++ b/pkg/endpointapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package endpointapi_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 	"github.com/clementineshed/clementineshed/pkg/standin/engined"
 	"github.com/clementineshed/clementineshed/pkg/standin/httpd"
 	"github.com/clementineshed/clementineshed/pkg/standin/platformd"
@@ -41,8 +41,8 @@
 // list in an outage.
 func TestHostListLagsAndOutlivesAnOutage(t *testing.T) {
 	s, c := start(t, platformd.Options{HostListLag: 60 * time.Millisecond})
-	hosts := platform.NewHostList(c, clockwork.NewRealClock())
-	s.SetHost(platform.Host{Name: "h1", Domain: "nashua", State: platform.HostLive})
+	hosts := endpointapi.NewHostList(c, clockwork.NewRealClock())
+	s.SetHost(endpointapi.Host{Name: "h1", Domain: "nashua", State: endpointapi.HostLive})
 	if answer, err := hosts.Read(background); err != nil || len(answer.Value.Hosts) != 0 {
 		t.Fatal(answer, err)
 	}
@@ -62,7 +62,7 @@
 // a lost answer that provisions twice, and an order missing from the journal.
 func TestProvisionAndReleaseAnEngine(t *testing.T) {
 	opts := platformd.Options{ProvisionDelay: 20 * time.Millisecond, ReleaseDelay: 20 * time.Millisecond}
-	opts.Start = func(e endpoint.Endpoint, order platform.ProvisionOrder) (endpoint.Endpoint, func(), error) {
+	opts.Start = func(e endpoint.Endpoint, order endpointapi.ProvisionOrder) (endpoint.Endpoint, func(), error) {
 		engine := engined.New(engined.Options{ID: e.ID, Model: order.Model})
 		if err := engine.Listen("127.0.0.1:0"); err != nil {
 			return e, nil, err
@@ -71,10 +71,10 @@
 		return e, func() { _ = engine.Close() }, nil
 	}
 	s, c := start(t, opts)
-	client := platform.NewEndpointInterface(c, clockwork.NewRealClock())
-	order := platform.ProvisionOrder{ID: "o1", Holder: "h1", Fence: 3, Domain: "nashua", Kind: platformd.KindSpot, Model: "m"}
+	client := endpointapi.NewEndpointInterface(c, clockwork.NewRealClock())
+	order := endpointapi.ProvisionOrder{ID: "o1", Holder: "h1", Fence: 3, Domain: "nashua", Kind: platformd.KindSpot, Model: "m"}
 	s.SetFaults(httpd.Faults{LoseAnswers: 1})
-	if _, err := client.Provision(background, order); !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if _, err := client.Provision(background, order); !errors.Is(err, endpointapi.ErrOutcomeUnknown) {
 		t.Fatal(err)
 	}
 	order.Fence = 2
@@ -86,7 +86,7 @@
 		list, _ := client.List(background)
 		return len(list) == 1 && list[0].State == endpoint.StateLive && list[0].Reclaimable
 	})
-	release := platform.ReleaseOrder{ID: "o2", Holder: "h1", EndpointID: answer.EndpointID}
+	release := endpointapi.ReleaseOrder{ID: "o2", Holder: "h1", EndpointID: answer.EndpointID}
 	if _, err := client.Release(background, release); err != nil {
 		t.Fatal(err)
 	}
@@ -112,10 +112,10 @@
 	}
 	eventually(t, "reclaim", func() bool { return len(s.Endpoints()) == 1 })
 	s.SetAvailable("nashua", platformd.KindSpot, false)
-	client := platform.NewEndpointInterface(c, clockwork.NewRealClock())
-	_, err := client.Provision(background, platform.ProvisionOrder{ID: "o", Domain: "nashua", Kind: platformd.KindSpot})
-	var refused *platform.RefusedError
-	if !errors.As(err, &refused) || refused.Code != platform.CodeKindUnavailable || !errors.Is(err, platform.ErrNoEffect) {
+	client := endpointapi.NewEndpointInterface(c, clockwork.NewRealClock())
+	_, err := client.Provision(background, endpointapi.ProvisionOrder{ID: "o", Domain: "nashua", Kind: platformd.KindSpot})
+	var refused *endpointapi.RefusedError
+	if !errors.As(err, &refused) || refused.Code != endpointapi.CodeKindUnavailable || !errors.Is(err, endpointapi.ErrNoEffect) {
 		t.Fatal(err)
 	}
 }
@@ -124,9 +124,9 @@
 // contradicts an earlier one.
 func TestUsageReportsAreJournaled(t *testing.T) {
 	s, c := start(t, platformd.Options{})
-	usage := platform.NewUsageInterface(c, clockwork.NewRealClock())
+	usage := endpointapi.NewUsageInterface(c, clockwork.NewRealClock())
 	for i := range 2 {
-		report := platform.UsageReport{ID: "r", Team: "t", Window: 60_000, Figures: platform.Figures{Requests: int64(i)}}
+		report := endpointapi.UsageReport{ID: "r", Team: "t", Window: 60_000, Figures: endpointapi.Figures{Requests: int64(i)}}
 		if answer, err := usage.Report(background, report); err != nil || answer.Duplicate != (i == 1) {
 			t.Fatal(answer, err)
 		}
@@ -139,13 +139,13 @@
 // Guards against a weight store without a limit.
 func TestWeightStoreLimit(t *testing.T) {
 	_, c := start(t, platformd.Options{WeightsPerSecond: 1})
-	store := platform.NewWeightStore(c, clockwork.NewRealClock())
+	store := endpointapi.NewWeightStore(c, clockwork.NewRealClock())
 	if answer, err := store.Weights(background, "m", "1"); err != nil || answer.Value.FetchMillis == 0 {
 		t.Fatal(answer, err)
 	}
 	answer, err := store.Weights(background, "m", "1")
-	var refused *platform.RefusedError
-	if !errors.As(err, &refused) || refused.Code != platform.CodeRateLimited || !answer.Known {
+	var refused *endpointapi.RefusedError
+	if !errors.As(err, &refused) || refused.Code != endpointapi.CodeRateLimited || !answer.Known {
 		t.Fatal(answer, err)
 	}
 }
--- a/pkg/platform/doc.go
+++ b/pkg/endpointapi/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's host list, endpoint
+// Package endpointapi is the client of the platform's host list, endpoint
 // interface, usage interface and weight store, see docs/platform.md.
 //
 // State: the last answer of each list and the time it was received.
@@ -10,4 +10,4 @@
 // When an interface is down, its list returns the last answer together with its
 // age and the error, and orders fail. When the weight store refuses for its rate
 // limit, a *RefusedError with CodeRateLimited says so.
-package platform
+package endpointapi
--- a/pkg/entryhost/control.go
+++ b/pkg/entryhost/control.go
@@ -10,10 +10,10 @@
 	"github.com/clementineshed/clementineshed/pkg/capacity"
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/lease"
 	"github.com/clementineshed/clementineshed/pkg/orders"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 	"github.com/clementineshed/clementineshed/pkg/roles"
 )
 
@@ -302,7 +302,7 @@
 		Kind: orders.Provision, Domain: place.Domain, EndpointKind: place.Kind, Model: models[0].Name, Version: models[0].Version,
 	})
 	var refused *orders.RefusedError
-	if errors.As(err, &refused) && refused.Code == platform.CodeKindUnavailable {
+	if errors.As(err, &refused) && refused.Code == endpointapi.CodeKindUnavailable {
 		a.unavailable[place] = now.Add(unavailableFor)
 	}
 	if err == nil || errors.Is(err, orders.ErrUnanswered) {
--- a/pkg/entryhost/peers.go
+++ b/pkg/entryhost/peers.go
@@ -14,10 +14,10 @@
 
 	"github.com/clementineshed/clementineshed/pkg/configstore"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/fairness"
 	"github.com/clementineshed/clementineshed/pkg/membership"
 	"github.com/clementineshed/clementineshed/pkg/peer"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -127,7 +127,7 @@
 	p.table.Subscribe(entryServed, p.mergeServed)
 	p.table.Subscribe(entryOffered, p.mergeOffered)
 	p.table.Subscribe(entryLeaving, p.mergeLeaving)
-	h.platform.onHosts = func(hosts []platform.Host) { p.table.SetHosts(listedHosts(hosts)) }
+	h.platform.onHosts = func(hosts []endpointapi.Host) { p.table.SetHosts(listedHosts(hosts)) }
 	return p, nil
 }
 
--- a/pkg/entryhost/platform.go
+++ b/pkg/entryhost/platform.go
@@ -10,10 +10,10 @@
 	"github.com/clementineshed/clementineshed/pkg/dispatch"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/endpoint/poll"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/membership"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 )
 
 const (
@@ -32,8 +32,8 @@
 // platformView keeps what the platform says: hosts and endpoints.
 type platformView struct {
 	host      *Host
-	hosts     *platform.HostList
-	endpoints *platform.EndpointInterface
+	hosts     *endpointapi.HostList
+	endpoints *endpointapi.EndpointInterface
 	table     *endpoint.Table
 
 	mu sync.Mutex
@@ -44,7 +44,7 @@
 	// was listed before.
 	missingSince map[string]time.Time
 	live         int
-	onHosts      func([]platform.Host)
+	onHosts      func([]endpointapi.Host)
 
 	// The fields below belong to run.
 	// reported is the time of the last load report by endpoint.
@@ -60,8 +60,8 @@
 	opts := jsonhttp.Options{Timeout: p.Timeout.Std(), TLS: h.keys.platformTLS()}
 	return &platformView{
 		host:         h,
-		hosts:        platform.NewHostList(jsonhttp.New(p.HostList, opts), h.clock),
-		endpoints:    platform.NewEndpointInterface(jsonhttp.New(p.Endpoints, opts), h.clock),
+		hosts:        endpointapi.NewHostList(jsonhttp.New(p.HostList, opts), h.clock),
+		endpoints:    endpointapi.NewEndpointInterface(jsonhttp.New(p.Endpoints, opts), h.clock),
 		table:        endpoint.NewTable(h.clock),
 		listed:       map[string]bool{},
 		missingSince: map[string]time.Time{},
@@ -127,7 +127,7 @@
 	}
 }
 
-func (p *platformView) merge(hosts []platform.Host, asked time.Time) {
+func (p *platformView) merge(hosts []endpointapi.Host, asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.firstAnswer.IsZero() {
@@ -139,7 +139,7 @@
 	for _, h := range hosts {
 		now[h.Instance] = true
 		delete(p.missingSince, h.Instance)
-		if h.State == platform.HostLive {
+		if h.State == endpointapi.HostLive {
 			live++
 		}
 	}
@@ -213,10 +213,10 @@
 
 // listedHosts translates the host list for the membership table, without this
 // host.
-func listedHosts(hosts []platform.Host) []membership.Listed {
+func listedHosts(hosts []endpointapi.Host) []membership.Listed {
 	list := make([]membership.Listed, 0, len(hosts))
 	for _, h := range hosts {
-		list = append(list, membership.Listed{Host: h.Name, Domain: h.Domain, Address: h.PeerAddress, Leaving: h.State == platform.HostLeaving})
+		list = append(list, membership.Listed{Host: h.Name, Domain: h.Domain, Address: h.PeerAddress, Leaving: h.State == endpointapi.HostLeaving})
 	}
 	return list
 }
--- a/pkg/orders/httpplatform.go
+++ b/pkg/orders/httpplatform.go
@@ -4,7 +4,7 @@
 	"context"
 	"crypto/tls"
 
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 )
 
 // HTTPPlatform speaks the platform's endpoint interface over HTTP, see
@@ -38,11 +38,11 @@
 // Order implements PlatformConn.
 func (c httpPlatformConn) Order(ctx context.Context, order PlatformOrder) error {
 	if order.Kind == Withdraw {
-		return c.Post(ctx, platform.PathRelease, platform.ReleaseOrder{
+		return c.Post(ctx, endpointapi.PathRelease, endpointapi.ReleaseOrder{
 			ID: order.ID, Holder: order.Holder, Fence: order.Fence, EndpointID: order.Endpoint,
 		})
 	}
-	return c.Post(ctx, platform.PathProvision, platform.ProvisionOrder{
+	return c.Post(ctx, endpointapi.PathProvision, endpointapi.ProvisionOrder{
 		ID: order.ID, Holder: order.Holder, Fence: order.Fence, Domain: order.Domain,
 		Kind: order.EndpointKind, Model: order.Model, Version: order.Version,
 	})
--- a/pkg/standin/platformd/control.go
+++ b/pkg/standin/platformd/control.go
@@ -7,7 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/standin/httpd"
 )
 
@@ -68,7 +68,7 @@
 		s.RemoveHost(name)
 		return
 	}
-	var host platform.Host
+	var host endpointapi.Host
 	if !httpd.Decode(ctx, &host) {
 		return
 	}
--- a/pkg/standin/platformd/endpoints.go
+++ b/pkg/standin/platformd/endpoints.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/standin/httpd"
 )
 
@@ -80,10 +80,10 @@
 // Endpoints returns the list as GET /v1/endpoints does.
 func (s *Server) Endpoints() []endpoint.Endpoint { return s.endpointsAnswer().Endpoints }
 
-func (s *Server) endpointsAnswer() platform.EndpointsAnswer {
+func (s *Server) endpointsAnswer() endpointapi.EndpointsAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answer := platform.EndpointsAnswer{Endpoints: []endpoint.Endpoint{}}
+	answer := endpointapi.EndpointsAnswer{Endpoints: []endpoint.Endpoint{}}
 	for _, m := range s.endpoints {
 		answer.Endpoints = append(answer.Endpoints, m.endpoint)
 	}
@@ -108,24 +108,24 @@
 }
 
 // kind must be called with mu held.
-func (s *Server) kind(name string) (platform.Kind, bool) {
+func (s *Server) kind(name string) (endpointapi.Kind, bool) {
 	for _, kind := range s.kinds {
 		if kind.Name == name {
 			return kind, true
 		}
 	}
-	return platform.Kind{}, false
+	return endpointapi.Kind{}, false
 }
 
 func (s *Server) handleProvision(ctx *fasthttp.RequestCtx) {
-	var order platform.ProvisionOrder
+	var order endpointapi.ProvisionOrder
 	if !httpd.Decode(ctx, &order) {
 		return
 	}
 	answer, entry := s.acceptProvision(order)
 	if entry.Refused != "" {
 		status := fasthttp.StatusConflict
-		if entry.Refused == platform.CodeBadRequest {
+		if entry.Refused == endpointapi.CodeBadRequest {
 			status = fasthttp.StatusBadRequest
 		}
 		httpd.Refuse(ctx, status, entry.Refused, "the order has no effect")
@@ -143,7 +143,7 @@
 //
 // The order is journaled under the lock, so that the journal has the order of
 // the effects.
-func (s *Server) acceptProvision(order platform.ProvisionOrder) (answer platform.ProvisionAnswer, entry OrderEntry) {
+func (s *Server) acceptProvision(order endpointapi.ProvisionOrder) (answer endpointapi.ProvisionAnswer, entry OrderEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer func() { s.orders.Add(entry) }()
@@ -159,14 +159,14 @@
 	kind, known := s.kind(order.Kind)
 	switch {
 	case order.ID == "" || order.Domain == "":
-		entry.Refused = platform.CodeBadRequest
-		return platform.ProvisionAnswer{}, entry
+		entry.Refused = endpointapi.CodeBadRequest
+		return endpointapi.ProvisionAnswer{}, entry
 	case !known:
-		entry.Refused = platform.CodeUnknownKind
-		return platform.ProvisionAnswer{}, entry
+		entry.Refused = endpointapi.CodeUnknownKind
+		return endpointapi.ProvisionAnswer{}, entry
 	case s.unavailable[domainKind{order.Domain, order.Kind}]:
-		entry.Refused = platform.CodeKindUnavailable
-		return platform.ProvisionAnswer{}, entry
+		entry.Refused = endpointapi.CodeKindUnavailable
+		return endpointapi.ProvisionAnswer{}, entry
 	}
 	s.nextID++
 	e := endpoint.Endpoint{
@@ -176,14 +176,14 @@
 	}
 	s.endpoints[e.ID] = &managed{endpoint: e}
 	ready := s.opts.Clock.Now().Add(s.opts.ProvisionDelay)
-	answer = platform.ProvisionAnswer{EndpointID: e.ID, ReadyAtMillis: ready.UnixMilli()}
+	answer = endpointapi.ProvisionAnswer{EndpointID: e.ID, ReadyAtMillis: ready.UnixMilli()}
 	s.provisioned[order.ID] = answer
 	entry.EndpointID = e.ID
 	return answer, entry
 }
 
 // start runs the hook for a provisioned endpoint and makes it live.
-func (s *Server) start(id string, order platform.ProvisionOrder) {
+func (s *Server) start(id string, order endpointapi.ProvisionOrder) {
 	s.mu.Lock()
 	m := s.endpoints[id]
 	if m == nil || m.endpoint.State != endpoint.StateStarting {
@@ -215,7 +215,7 @@
 }
 
 func (s *Server) handleRelease(ctx *fasthttp.RequestCtx) {
-	var order platform.ReleaseOrder
+	var order endpointapi.ReleaseOrder
 	if !httpd.Decode(ctx, &order) {
 		return
 	}
@@ -233,7 +233,7 @@
 }
 
 // acceptRelease journals a release order and says what becomes of it.
-func (s *Server) acceptRelease(order platform.ReleaseOrder) (answer platform.ReleaseAnswer, entry OrderEntry) {
+func (s *Server) acceptRelease(order endpointapi.ReleaseOrder) (answer endpointapi.ReleaseAnswer, entry OrderEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer func() { s.orders.Add(entry) }()
@@ -248,12 +248,12 @@
 	}
 	m := s.endpoints[order.EndpointID]
 	if m == nil {
-		entry.Refused = platform.CodeNotFound
-		return platform.ReleaseAnswer{}, entry
+		entry.Refused = endpointapi.CodeNotFound
+		return endpointapi.ReleaseAnswer{}, entry
 	}
 	entry.Domain = m.endpoint.Domain
 	entry.Kind = m.endpoint.Kind
-	answer = platform.ReleaseAnswer{LeaveAtMillis: now.Add(s.opts.ReleaseDelay).UnixMilli()}
+	answer = endpointapi.ReleaseAnswer{LeaveAtMillis: now.Add(s.opts.ReleaseDelay).UnixMilli()}
 	s.released[order.ID] = answer
 	return answer, entry
 }
--- a/pkg/standin/platformd/enginehost.go
+++ b/pkg/standin/platformd/enginehost.go
@@ -6,7 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/standin/engined"
 )
 
@@ -27,7 +27,7 @@
 }
 
 // Start starts an engine for a provision order.
-func (h *EngineHost) Start(e endpoint.Endpoint, order platform.ProvisionOrder) (endpoint.Endpoint, func(), error) {
+func (h *EngineHost) Start(e endpoint.Endpoint, order endpointapi.ProvisionOrder) (endpoint.Endpoint, func(), error) {
 	if !e.Engine() {
 		return e, nil, errors.Errorf("service %q can't be started here", e.Service)
 	}
--- a/pkg/standin/platformd/hosts.go
+++ b/pkg/standin/platformd/hosts.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 )
 
 // hostHistory holds the versions of one host that the lagging list may still
@@ -15,12 +15,12 @@
 
 type hostVersion struct {
 	at      time.Time
-	host    platform.Host
+	host    endpointapi.Host
 	present bool
 }
 
 // SetHost adds or changes a host. The list shows it after HostListLag.
-func (s *Server) SetHost(h platform.Host) {
+func (s *Server) SetHost(h endpointapi.Host) {
 	s.addHostVersion(h.Name, hostVersion{host: h, present: true})
 }
 
@@ -43,7 +43,7 @@
 
 // visible returns the newest version that is older than the lag, and forgets
 // the ones before.
-func (h *hostHistory) visible(horizon time.Time) (platform.Host, bool) {
+func (h *hostHistory) visible(horizon time.Time) (endpointapi.Host, bool) {
 	newest := -1
 	for i, v := range h.versions {
 		if !v.at.After(horizon) {
@@ -51,17 +51,17 @@
 		}
 	}
 	if newest < 0 {
-		return platform.Host{}, false
+		return endpointapi.Host{}, false
 	}
 	h.versions = h.versions[newest:]
 	return h.versions[0].host, h.versions[0].present
 }
 
-func (s *Server) hostsAnswer() platform.HostsAnswer {
+func (s *Server) hostsAnswer() endpointapi.HostsAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	horizon := s.opts.Clock.Now().Add(-s.opts.HostListLag)
-	answer := platform.HostsAnswer{Hosts: []platform.Host{}, LagMillis: s.opts.HostListLag.Milliseconds()}
+	answer := endpointapi.HostsAnswer{Hosts: []endpointapi.Host{}, LagMillis: s.opts.HostListLag.Milliseconds()}
 	for _, history := range s.hosts {
 		if host, ok := history.visible(horizon); ok {
 			answer.Hosts = append(answer.Hosts, host)
--- a/pkg/standin/platformd/server.go
+++ b/pkg/standin/platformd/server.go
@@ -12,9 +12,9 @@
 	"golang.org/x/time/rate"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/logging"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 	"github.com/clementineshed/clementineshed/pkg/standin/httpd"
 )
 
@@ -48,7 +48,7 @@
 	// ReclaimNotice is the time from the notice to the endpoint's end.
 	ReclaimNotice time.Duration
 	// Kinds are the offered kinds; KindSteady and KindSpot if empty.
-	Kinds []platform.Kind
+	Kinds []endpointapi.Kind
 	// WeightsPerSecond limits the requests to the weight store.
 	WeightsPerSecond float64
 	// WeightBytes is the size of every model's weights.
@@ -59,7 +59,7 @@
 	// Domain, Kind and Service; the hook returns it with Instance, Address and
 	// ChecksFencing set, and a function that stops it. With no hook,
 	// endpoints appear with an address that refuses connections.
-	Start func(e endpoint.Endpoint, order platform.ProvisionOrder) (endpoint.Endpoint, func(), error)
+	Start func(e endpoint.Endpoint, order endpointapi.ProvisionOrder) (endpoint.Endpoint, func(), error)
 	// HidesHolders answers 404 to the question for order connections.
 	HidesHolders bool
 	// Clock is the real clock if nil.
@@ -75,7 +75,7 @@
 	o.ReleaseDelay = defaultDelay(o.ReleaseDelay, DefaultReleaseDelay)
 	o.ReclaimNotice = defaultDelay(o.ReclaimNotice, DefaultReclaimNotice)
 	if len(o.Kinds) == 0 {
-		o.Kinds = []platform.Kind{
+		o.Kinds = []endpointapi.Kind{
 			{Name: KindSteady, HourlyCost: 4},
 			{Name: KindSpot, HourlyCost: 1.2, Reclaimable: true},
 		}
@@ -111,7 +111,7 @@
 // refusedAddress is a port that nothing listens on.
 const refusedAddress = "127.0.0.1:1"
 
-func startNothing(e endpoint.Endpoint, _ platform.ProvisionOrder) (endpoint.Endpoint, func(), error) {
+func startNothing(e endpoint.Endpoint, _ endpointapi.ProvisionOrder) (endpoint.Endpoint, func(), error) {
 	e.Instance = e.ID + "-1"
 	e.Address = refusedAddress
 	return e, func() {}, nil
@@ -133,10 +133,10 @@
 	closed      bool
 	hosts       map[string]*hostHistory
 	endpoints   map[string]*managed
-	kinds       []platform.Kind
+	kinds       []endpointapi.Kind
 	unavailable map[domainKind]bool
-	provisioned map[string]platform.ProvisionAnswer
-	released    map[string]platform.ReleaseAnswer
+	provisioned map[string]endpointapi.ProvisionAnswer
+	released    map[string]endpointapi.ReleaseAnswer
 	reports     map[string]bool
 	nextID      int
 	fetching    int
@@ -155,8 +155,8 @@
 		endpoints:   map[string]*managed{},
 		kinds:       opts.Kinds,
 		unavailable: map[domainKind]bool{},
-		provisioned: map[string]platform.ProvisionAnswer{},
-		released:    map[string]platform.ReleaseAnswer{},
+		provisioned: map[string]endpointapi.ProvisionAnswer{},
+		released:    map[string]endpointapi.ReleaseAnswer{},
 		reports:     map[string]bool{},
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -205,18 +205,18 @@
 	switch {
 	case path == enginewire.PathOrderConnections && ctx.IsGet() && !s.opts.HidesHolders:
 		s.http.AnswerHolders(ctx)
-	case path == platform.PathHosts && ctx.IsGet():
+	case path == endpointapi.PathHosts && ctx.IsGet():
 		httpd.Answer(ctx, fasthttp.StatusOK, s.hostsAnswer())
-	case path == platform.PathEndpoints && ctx.IsGet():
+	case path == endpointapi.PathEndpoints && ctx.IsGet():
 		httpd.Answer(ctx, fasthttp.StatusOK, s.endpointsAnswer())
-	case path == platform.PathProvision && ctx.IsPost():
+	case path == endpointapi.PathProvision && ctx.IsPost():
 		s.handleProvision(ctx)
-	case path == platform.PathRelease && ctx.IsPost():
+	case path == endpointapi.PathRelease && ctx.IsPost():
 		s.handleRelease(ctx)
-	case path == platform.PathUsage && ctx.IsPost():
+	case path == endpointapi.PathUsage && ctx.IsPost():
 		s.handleUsage(ctx)
-	case strings.HasPrefix(path, platform.PathWeights+"/") && ctx.IsGet():
-		s.handleWeights(ctx, strings.TrimPrefix(path, platform.PathWeights+"/"))
+	case strings.HasPrefix(path, endpointapi.PathWeights+"/") && ctx.IsGet():
+		s.handleWeights(ctx, strings.TrimPrefix(path, endpointapi.PathWeights+"/"))
 	default:
 		httpd.Refuse(ctx, fasthttp.StatusNotFound, httpd.CodeNotFound, "no such path")
 	}
--- a/pkg/standin/platformd/usage.go
+++ b/pkg/standin/platformd/usage.go
@@ -6,14 +6,14 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/standin/httpd"
 )
 
 // UsageEntry is one usage report in the journal.
 type UsageEntry struct {
 	TimeMillis int64 `json:"time_ms"`
-	platform.UsageReport
+	endpointapi.UsageReport
 	Repeated bool `json:"repeated,omitempty"`
 }
 
@@ -21,18 +21,18 @@
 func (s *Server) Usage() []UsageEntry { return s.usage.All() }
 
 func (s *Server) handleUsage(ctx *fasthttp.RequestCtx) {
-	var report platform.UsageReport
+	var report endpointapi.UsageReport
 	if !httpd.Decode(ctx, &report) {
 		return
 	}
 	if report.ID == "" || report.Team == "" {
-		httpd.Refuse(ctx, fasthttp.StatusBadRequest, platform.CodeBadRequest, "id and team are required")
+		httpd.Refuse(ctx, fasthttp.StatusBadRequest, endpointapi.CodeBadRequest, "id and team are required")
 		return
 	}
 	repeated := s.seenReport(report.ID)
 	s.usage.Add(UsageEntry{TimeMillis: s.opts.Clock.Now().UnixMilli(), UsageReport: report, Repeated: repeated})
 	if !s.faults.Leave(ctx) {
-		httpd.Answer(ctx, fasthttp.StatusOK, platform.UsageAnswer{Duplicate: repeated})
+		httpd.Answer(ctx, fasthttp.StatusOK, endpointapi.UsageAnswer{Duplicate: repeated})
 	}
 }
 
@@ -50,16 +50,16 @@
 func (s *Server) handleWeights(ctx *fasthttp.RequestCtx, path string) {
 	model, version, ok := strings.Cut(path, "/")
 	if !ok || model == "" || version == "" {
-		httpd.Refuse(ctx, fasthttp.StatusNotFound, platform.CodeNotFound, "no such weights")
+		httpd.Refuse(ctx, fasthttp.StatusNotFound, endpointapi.CodeNotFound, "no such weights")
 		return
 	}
 	if !s.weights.AllowN(s.opts.Clock.Now(), 1) {
 		ctx.Response.Header.Set("Retry-After", "1")
-		httpd.Refuse(ctx, fasthttp.StatusTooManyRequests, platform.CodeRateLimited, "too many fetches")
+		httpd.Refuse(ctx, fasthttp.StatusTooManyRequests, endpointapi.CodeRateLimited, "too many fetches")
 		return
 	}
 	duration := s.startFetch()
-	httpd.Answer(ctx, fasthttp.StatusOK, platform.Weights{
+	httpd.Answer(ctx, fasthttp.StatusOK, endpointapi.Weights{
 		Model: model, Version: version,
 		Bytes:       s.opts.WeightBytes,
 		FetchMillis: duration.Milliseconds(),
--- a/pkg/usage/httpinterface.go
+++ b/pkg/usage/httpinterface.go
@@ -4,8 +4,8 @@
 	"context"
 	"crypto/tls"
 
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/orders"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 )
 
 // HTTPInterface speaks the platform's usage interface over HTTP, see
@@ -38,9 +38,9 @@
 
 // Send implements Conn.
 func (c httpConn) Send(ctx context.Context, r Report) error {
-	return c.Post(ctx, platform.PathUsage, platform.UsageReport{
+	return c.Post(ctx, endpointapi.PathUsage, endpointapi.UsageReport{
 		ID: r.ID, Team: r.Team, Window: r.StartMillis,
-		Figures: platform.Figures{
+		Figures: endpointapi.Figures{
 			Requests:     r.Counts.Requests,
 			PromptTokens: r.Counts.InputTokens,
 			CachedTokens: r.Counts.CachedTokens,
--- a/test/e2e/deployment.go
+++ b/test/e2e/deployment.go
@@ -20,9 +20,9 @@
 
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/entryhost"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
-	"github.com/clementineshed/clementineshed/pkg/platform"
 	"github.com/clementineshed/clementineshed/pkg/settings"
 	"github.com/clementineshed/clementineshed/pkg/standin/orderd"
 	"github.com/clementineshed/clementineshed/pkg/standin/platformd"
@@ -260,9 +260,9 @@
 		d.opts.Settings(&s)
 	}
 	h.file = d.writeJSON(h.Name+".json", s)
-	d.Control(d.Platform.Address, http.MethodPut, "/control/hosts/"+h.Name, platform.Host{
+	d.Control(d.Platform.Address, http.MethodPut, "/control/hosts/"+h.Name, endpointapi.Host{
 		Instance: s.Host.Instance, Domain: domain, PeerAddress: s.Listen.Peers,
-		OperatorAddress: h.OperatorLink.Address(), State: platform.HostLive,
+		OperatorAddress: h.OperatorLink.Address(), State: endpointapi.HostLive,
 	})
 	h.Process = d.start(h.Name, "clementineshed", "serve", "--settings", h.file)
 	return h
@@ -293,8 +293,8 @@
 // waitListed waits until the lagging host list shows every host.
 func (d *Deployment) waitListed() {
 	Eventually(d.t, readyTime, "hosts are listed", func() bool {
-		var answer platform.HostsAnswer
-		d.get(d.Platform.Address, platform.PathHosts, &answer)
+		var answer endpointapi.HostsAnswer
+		d.get(d.Platform.Address, endpointapi.PathHosts, &answer)
 		return len(answer.Hosts) == len(d.Hosts)
 	})
 }
--- a/test/e2e/links.go
+++ b/test/e2e/links.go
@@ -10,7 +10,7 @@
 	"net/url"
 	"sync"
 
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/standin/faultproxy"
 )
 
@@ -102,9 +102,9 @@
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: target})
 	mux := http.NewServeMux()
 	mux.Handle("/", proxy)
-	mux.HandleFunc("GET "+platform.PathHosts, func(w http.ResponseWriter, _ *http.Request) {
-		var answer platform.HostsAnswer
-		forward(w, target, platform.PathHosts, &answer, func() {
+	mux.HandleFunc("GET "+endpointapi.PathHosts, func(w http.ResponseWriter, _ *http.Request) {
+		var answer endpointapi.HostsAnswer
+		forward(w, target, endpointapi.PathHosts, &answer, func() {
 			for i, h := range answer.Hosts {
 				if h.PeerAddress != "" && h.Name != from.name {
 					target := h.PeerAddress
@@ -116,9 +116,9 @@
 			}
 		})
 	})
-	mux.HandleFunc("GET "+platform.PathEndpoints, func(w http.ResponseWriter, _ *http.Request) {
-		var answer platform.EndpointsAnswer
-		forward(w, target, platform.PathEndpoints, &answer, func() {
+	mux.HandleFunc("GET "+endpointapi.PathEndpoints, func(w http.ResponseWriter, _ *http.Request) {
+		var answer endpointapi.EndpointsAnswer
+		forward(w, target, endpointapi.PathEndpoints, &answer, func() {
 			for i, e := range answer.Endpoints {
 				if e.Address != "" {
 					answer.Endpoints[i].Address = l.link("tcp", from, end{e.ID, e.Domain}, e.Address).Address()
--- a/test/e2e/usage_test.go
+++ b/test/e2e/usage_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/clementineshed/clementineshed/pkg/platform"
+	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/settings"
 	"github.com/clementineshed/clementineshed/pkg/standin/platformd"
 )
@@ -23,7 +23,7 @@
 		team  string
 		start int64
 	}
-	first := map[window]platform.UsageReport{}
+	first := map[window]endpointapi.UsageReport{}
 	highest := int64(-1)
 	for _, r := range reports {
 		w := window{r.Team, r.Window}
