--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -148,6 +148,14 @@
 // Hosts returns the number of hosts that were heard lately, this one included.
 func (s *Share) Hosts() int { return len(s.Alive()) }
 
+// Known returns the number of hosts that have announced themselves and not
+// withdrawn, this one included.
+func (s *Share) Known() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 + len(s.peers)
+}
+
 // Report queues a send for the other hosts.
 func (s *Share) Report(service string, sent placement.Sent) {
 	r := report{Service: service, Engine: sent.EngineID, Phase: phasePrefill, WorkMicros: sent.WorkMicros, Late: sent.Late, Tokens: sent.Tokens}
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -177,7 +177,7 @@
 	if unsent(err) && len(g.job.Exclude) <= maxUnsent {
 		return nil
 	}
-	if len(g.job.Exclude) < maxPrefills && g.h.Budget.Spend(g.x.service, time.Now()) {
+	if g.mayReadAgain(err) && len(g.job.Exclude) < maxPrefills {
 		g.h.Metrics.Repeats.Add(1)
 		return nil
 	}
@@ -187,6 +187,18 @@
 	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no engine read the prompt").After(g.x.retryAfter(overloadRetryAfter)).Because(err)
 }
 
+// mayReadAgain counts a failed prefill and decides on another one. Of all prefills
+// the first that an engine accepts is free, so a rejected one counts itself, and
+// after one that may have been accepted the next one does.
+func (g *generation) mayReadAgain(err error) bool {
+	now := time.Now()
+	if !certainlyNotRun(err) {
+		return g.h.Budget.Spend(g.x.service, now)
+	}
+	g.h.Budget.Count(g.x.service, now)
+	return g.h.Budget.Allows(g.x.service, now)
+}
+
 // generateFrom has a decode engine go on from the handle. again says that the
 // prompt has to be read anew.
 func (g *generation) generateFrom(handle promptHandle, from fleet.Member) (s *stream, again bool, r *refusal.Refusal) {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -98,7 +98,7 @@
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
-		Budget: retry.NewShared(settings.Repeats, h.hosts), Client: h.client,
+		Budget: retry.NewShared(settings.Repeats, h.knownHosts), Client: h.client,
 		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
@@ -125,6 +125,14 @@
 	return h.share.Hosts()
 }
 
+// knownHosts is the number of hosts that may serve, heard or not.
+func (h *Host) knownHosts() int {
+	if h.share == nil {
+		return 1
+	}
+	return h.share.Known()
+}
+
 func (h *Host) sent(service string, sent placement.Sent) { h.share.Report(service, sent) }
 
 // ran counts a request that an endpoint began to run.
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -11,7 +11,9 @@
 // concurrent use.
 type Shared struct {
 	limits SharedLimits
-	hosts  func() int
+	// hosts counts those that may send, also the ones that this host does not
+	// hear: hosts that are cut off from each other must not take each other's part.
+	hosts func() int
 
 	mu       sync.Mutex
 	services map[string]*window // guarded by mu
@@ -72,10 +74,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.service(service, now)
-	allowance := s.limits.Ratio*float64(len(w.requests)) + float64(s.limits.Fixed)/float64(max(s.hosts(), 1))
-	if float64(len(w.repeats)+1) > sharedUse*allowance {
+	if !s.allows(w) {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
 	return true
 }
+
+// Allows reports whether the budget allows a repeated send, without taking it.
+func (s *Shared) Allows(service string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allows(s.service(service, now))
+}
+
+// Count notes a send that counts as repeated although nobody asked for it, such
+// as a first one that was rejected.
+func (s *Shared) Count(service string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.service(service, now)
+	w.repeats = append(w.repeats, now)
+}
+
+// allows must be called with mu held.
+func (s *Shared) allows(w *window) bool {
+	allowance := s.limits.Ratio*float64(len(w.requests)) + float64(s.limits.Fixed)/float64(max(s.hosts(), 1))
+	return float64(len(w.repeats)+1) <= sharedUse*allowance
+}
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -44,3 +44,19 @@
 		}
 	}
 }
+
+// TestRejectedSendsCount guards against repeats beside first sends that were
+// rejected, which count as well.
+func TestRejectedSendsCount(t *testing.T) {
+	b := NewShared(SharedLimits{Fixed: 20, Window: 10 * time.Second}, func() int { return 1 })
+	now := time.Unix(1_700_000_000, 0)
+	for range 20 {
+		b.Count("s", now)
+	}
+	if b.Allows("s", now) || b.Spend("s", now) {
+		t.Error("a repeat was allowed")
+	}
+	if !b.Allows("s", now.Add(11*time.Second)) {
+		t.Error("no repeat is allowed in the next window")
+	}
+}
