--- a/pkg/logging/bounded_test.go
+++ b/pkg/logging/bounded_test.go
@@ -69,3 +69,23 @@
 	defer l.mu.Unlock()
 	return l.b.String()
 }
+
+// wholeLines fails if it is given a part of a line.
+type wholeLines struct{ t *testing.T }
+
+func (w wholeLines) Write(p []byte) (int, error) {
+	if text := string(p); strings.Count(text, "\n") != 1 || !strings.HasSuffix(text, "\n") {
+		w.t.Errorf("written: %q", text)
+	}
+	return len(p), nil
+}
+
+// TestLinesAreWrittenWhole guards against lines that are garbled because a part of
+// one was dropped.
+func TestLinesAreWrittenWhole(t *testing.T) {
+	logger, err := New(wholeLines{t}, "info", "host-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.WithField("a", 1).WithField("b", "two words").Info("something_happened")
+}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return nil, errors.Errorf("log level %q is not one of debug, info, warn, error", level)
 	}
-	logger := &log.Logger{Handler: logfmt.New(w), Level: parsed}
+	logger := &log.Logger{Handler: logfmt.New(&lineWriter{out: w}), Level: parsed}
 	return logger.WithField("host", host), nil
 }
 
@@ -25,3 +25,21 @@
 func Discard() log.Interface {
 	return &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil }), Level: log.FatalLevel}
 }
+
+// lineWriter passes whole lines on: the handler writes a line in pieces, under its
+// own lock, and an output that drops or mixes pieces would garble lines.
+type lineWriter struct {
+	out  io.Writer
+	line []byte
+}
+
+// Write implements io.Writer.
+func (w *lineWriter) Write(p []byte) (int, error) {
+	w.line = append(w.line, p...)
+	if len(p) == 0 || p[len(p)-1] != '\n' {
+		return len(p), nil
+	}
+	_, err := w.out.Write(w.line)
+	w.line = w.line[:0]
+	return len(p), err
+}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -69,9 +69,6 @@
 	added []uint64
 }
 
-// Expected is when the send was expected to be answered.
-func (t *Ticket) Expected() time.Time { return t.expected }
-
 // Model is the state of the engines of one service. It is safe for concurrent
 // use.
 type Model struct {
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -47,8 +47,6 @@
 	x     *exchange
 	model *placement.Model
 	job   placement.Job
-	// prefills and decodes count the engines that were sent the phases.
-	prefills, decodes int
 	// delivered is the id of the last event that the caller has.
 	delivered string
 }
@@ -143,7 +141,6 @@
 		g.model.End(ticket, placement.Failed, done)
 		return promptHandle{}, err
 	}
-	g.prefills++
 	g.model.End(ticket, placement.Completed, done)
 	g.h.Outliers.Succeeded(c.Engine.ID, done)
 	g.h.Metrics.Prefill.Record(done.Sub(now))
@@ -278,7 +275,6 @@
 		g.model.End(ticket, outcome, time.Now())
 		return nil, err
 	}
-	g.decodes++
 	return &stream{g: g, answer: answer, member: c.Engine, ticket: ticket, sentAt: now}, nil
 }
 
--- a/pkg/relayhost/settings.go
+++ b/pkg/relayhost/settings.go
@@ -19,11 +19,8 @@
 	LinkPort, MetricsPort int
 	// MemoryBytes is the limit at which the process is killed.
 	MemoryBytes int64
-	// Heartbeat is the interval of the endpoints' announcements.
-	Heartbeat time.Duration
-	// StoreAddress is the platform's store; StoreCall bounds the bytes of a call.
+	// StoreAddress is the platform's store.
 	StoreAddress string
-	StoreCall    int
 	// CloudAddress takes usage reports and orders for endpoints; it may be empty.
 	CloudAddress string
 	// ReportUsage, OrderEngines and OrderServers are the duties of one host at a
