Read-through: remove dead fields and branches, look at each engine once

What stood twice or was dead: - placement looked at all engines twice for each prompt, for the source of a copy and for the parts in progress: one pass (holders). - Sent and the datagrams carried a late mark and a prompt size that nobody read; Outcome had two values with one meaning; Job an output size without use. - fleet.Members sorted the members for each plain request: the list is kept until a member changes. - usage.Counter noted that it was cut off and handed counts ahead of the append; handing to the candidates first has replaced that. The product's own interface is back to what it did: it hands what an append has failed on. - three copies of a wait that ends with its context: pkg/sleep. - wrappers around the outlier tracker, one of which checked twice.

--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -8,9 +8,10 @@
 
 // FillCheap keeps a number of durable endpoints in each domain and fills the
 // rest of what may be ordered there with reclaimable ones, as long as these are
-// cheap; otherwise it keeps as many durable ones as there were. The load pattern: bursts that double the work within a second, while an
-// ordered endpoint takes seconds to start, and domains whose reclaimable
-// endpoints are withdrawn all at once.
+// cheap; otherwise it keeps as many durable ones as there were. The load pattern:
+// bursts that double the work within a second, while an ordered endpoint takes
+// seconds to start, and domains whose reclaimable endpoints are withdrawn all at
+// once.
 type FillCheap struct {
 	// Durable is the number of durable endpoints kept in each domain.
 	Durable int
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -63,11 +63,13 @@
 	storeFailedAt, storeBackAt time.Time
 	down                       bool
 	version                    int64
+	// lists caches Members; each change of the members empties it.
+	lists map[string][]Member
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]Member{}, missing: map[string]time.Time{}}
+	return &Registry{members: map[string]Member{}, missing: map[string]time.Time{}, lists: map[string][]Member{}}
 }
 
 // StoreFailed notes that the store did not answer at now.
@@ -115,6 +117,7 @@
 		change = Moved
 	}
 	r.members[m.ID] = m
+	clear(r.lists)
 	if change != Unchanged {
 		r.version++
 	}
@@ -140,6 +143,7 @@
 func (r *Registry) drop(id string) {
 	delete(r.members, id)
 	delete(r.missing, id)
+	clear(r.lists)
 	r.version++
 }
 
@@ -179,10 +183,14 @@
 	return gone
 }
 
-// Members returns the endpoints of a service in the order of their ids.
+// Members returns the endpoints of a service in the order of their ids. The list
+// is shared and must not be changed.
 func (r *Registry) Members(service string) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if list, ok := r.lists[service]; ok {
+		return list
+	}
 	var list []Member
 	for _, m := range r.members {
 		if m.Service == service {
@@ -190,6 +198,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	r.lists[service] = list
 	return list
 }
 
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/logservice"
+	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
@@ -135,28 +136,18 @@
 		}
 		if err != nil {
 			f.note(err)
-			pause(ctx, backoff/2+rand.N(backoff))
+			sleep.For(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = minBackoff
 		f.note(nil)
 		if f.opts.Pace != nil {
-			pause(ctx, f.opts.Pace()-time.Since(started))
+			sleep.For(ctx, f.opts.Pace()-time.Since(started))
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // note logs the first failure of a series and the answer that ends it.
 func (f *Follower) note(err error) {
 	fields := f.opts.Log.WithField("topic", f.opts.Topic).WithField("next", f.next.Load())
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -24,6 +24,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -69,10 +70,8 @@
 	// work for the time in WorkMicros.
 	Phase      uint8
 	WorkMicros int64
-	Late       bool
 	Parts      []uint64
 	Sizes      []int
-	Tokens     int
 }
 
 const (
@@ -158,7 +157,7 @@
 
 // Report queues a send for the other hosts.
 func (s *Share) Report(service string, sent placement.Sent) {
-	r := report{Service: service, Engine: sent.EngineID, Phase: phasePrefill, WorkMicros: sent.WorkMicros, Late: sent.Late, Tokens: sent.Tokens}
+	r := report{Service: service, Engine: sent.EngineID, Phase: phasePrefill, WorkMicros: sent.WorkMicros}
 	if sent.Role == endpoint.RoleDecode {
 		r.Phase = phaseDecode
 	}
@@ -248,7 +247,7 @@
 			wg.Wait()
 			return
 		case <-s.wake:
-			sleep(ctx, s.collect())
+			sleep.For(ctx, s.collect())
 		case <-timer.C:
 		}
 		s.flush()
@@ -256,13 +255,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Share) collect() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -301,7 +293,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				// An error of an earlier datagram's delivery shows up here.
-				sleep(ctx, errorPause)
+				sleep.For(ctx, errorPause)
 			}
 			continue
 		}
@@ -338,7 +330,7 @@
 			s.opts.Blocked(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
 		}
-		sent := placement.Sent{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Late: r.Late, Tokens: r.Tokens}
+		sent := placement.Sent{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros}
 		if r.Phase == phaseDecode {
 			sent.Role = endpoint.RoleDecode
 		}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -85,7 +85,7 @@
 func TestReportsArrive(t *testing.T) {
 	a, b := start(t, "a"), start(t, "b")
 	connect(t, map[string]*node{"a": a, "b": b})
-	sent := placement.Sent{EngineID: "e1", Role: endpoint.RoleDecode, WorkMicros: 1500, Tokens: 900, Parts: []placement.Part{{ID: 1 << 63, Tokens: 600}, {ID: 2, Tokens: 300}}}
+	sent := placement.Sent{EngineID: "e1", Role: endpoint.RoleDecode, WorkMicros: 1500, Parts: []placement.Part{{ID: 1 << 63, Tokens: 600}, {ID: 2, Tokens: 300}}}
 	a.share.Report("llm", sent)
 	a.share.Block("llm", "e2", 3*time.Second)
 	if err := a.share.Hand([]string{"b"}, []usage.Flush{{Incarnation: "a/1", Window: 5, Sequence: 2, Teams: map[string]usage.Counts{"acme": {Requests: 3}}}}); err != nil {
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -42,8 +42,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	source, most := m.source(job, now)
-	coming := m.mostComing(job, now)
+	source, most, coming := m.holders(job, now)
 	var best Choice
 	bestCost := time.Duration(-1)
 	for _, e := range candidates {
@@ -91,30 +90,18 @@
 	return c
 }
 
-// source returns the engine that holds the longest prefix of the prompt now.
-func (m *Model) source(job Job, now time.Time) (*engine, int) {
-	var best *engine
-	most := 0
+// holders returns the live engine that holds the longest prefix of the prompt now,
+// the tokens of that prefix, and those of the longest one that some engine holds
+// or is reading.
+func (m *Model) holders(job Job, now time.Time) (source *engine, most, mostComing int) {
 	for _, e := range m.order {
-		if e.member.State != endpoint.StateLive {
-			continue
-		}
-		if ready, _ := e.cache.prefix(job.Parts, now); ready > most {
-			best, most = e, ready
-		}
-	}
-	return best, most
-}
-
-// mostComing is the longest prefix that some engine holds or is reading.
-func (m *Model) mostComing(job Job, now time.Time) int {
-	most := 0
-	for _, e := range m.order {
-		if _, coming := e.cache.prefix(job.Parts, now); coming > most {
-			most = coming
+		ready, coming := e.cache.prefix(job.Parts, now)
+		mostComing = max(mostComing, coming)
+		if ready > most && e.member.State == endpoint.StateLive {
+			source, most = e, ready
 		}
 	}
-	return most
+	return source, most, mostComing
 }
 
 // Decode chooses the engine that makes the tokens after the prompt was read at
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -159,7 +159,7 @@
 func (m *Model) Begin(role endpoint.Role, job Job, c Choice, now time.Time) (*Ticket, Sent) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sent := Sent{EngineID: c.Engine.ID, Role: role, WorkMicros: c.Work.Microseconds(), Late: job.Late, Parts: job.Parts, Tokens: job.PromptTokens}
+	sent := Sent{EngineID: c.Engine.ID, Role: role, WorkMicros: c.Work.Microseconds(), Parts: job.Parts}
 	t := &Ticket{engineID: c.Engine.ID, role: role, sentAt: now, expected: now.Add(c.Expected()), uncached: c.Uncached, work: c.Work, copying: c.Copying}
 	e := m.engines[c.Engine.ID]
 	if e == nil {
@@ -205,10 +205,9 @@
 // Outcome is how a send ended.
 type Outcome int
 
-// Outcomes. NotStarted sends left no work at the engine.
+// Outcomes. Failed sends are taken to have left no work at the engine.
 const (
 	Completed Outcome = iota
-	NotStarted
 	Failed
 )
 
@@ -231,12 +230,11 @@
 		e.streams = max(0, e.streams-1)
 		return
 	}
-	switch outcome {
-	case Completed:
-		m.learn(e, t, now)
-	case NotStarted, Failed:
+	if outcome != Completed {
 		e.free = e.free.Add(-t.work)
+		return
 	}
+	m.learn(e, t, now)
 }
 
 // learn compares the time that a send took with what was expected. mu must be
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -99,7 +99,7 @@
 }
 
 func prompt(parts ...Part) Job {
-	j := Job{Parts: parts, OutputTokens: 20}
+	j := Job{Parts: parts}
 	for _, p := range parts {
 		j.PromptTokens += p.Tokens
 	}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -16,8 +16,8 @@
 // Job is a request for model work.
 type Job struct {
 	// Parts are the prompt in order; the last one belongs to this request.
-	Parts                      []Part
-	PromptTokens, OutputTokens int
+	Parts        []Part
+	PromptTokens int
 	// Late work has missed its target, or will.
 	Late bool
 	// Exclude lists engines that have failed the request.
@@ -52,9 +52,6 @@
 	// WorkMicros is the time that the engine, or its link for a decode send, is
 	// expected to be busy with it, in microseconds.
 	WorkMicros int64
-	Late       bool
 	// Parts will be held by the engine once the work is done.
 	Parts []Part
-	// Tokens is the size of the prompt.
-	Tokens int
 }
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -8,7 +8,6 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
-	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 )
@@ -55,7 +54,7 @@
 func (h *Handler) generate(x *exchange, model *placement.Model) *refusal.Refusal {
 	p := x.call.Prompt
 	g := &generation{h: h, x: x, model: model, delivered: x.call.LastEventID,
-		job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputTokens: p.MaxOutput}}
+		job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens}}
 	stream, r := g.open()
 	if r != nil {
 		return r
@@ -268,11 +267,7 @@
 		g.x.sends++
 	}
 	if err != nil {
-		outcome := placement.Failed
-		if certainlyNotRun(err) {
-			outcome = placement.NotStarted
-		}
-		g.model.End(ticket, outcome, time.Now())
+		g.model.End(ticket, placement.Failed, time.Now())
 		return nil, err
 	}
 	return &stream{g: g, answer: answer, member: c.Engine, ticket: ticket, sentAt: now}, nil
@@ -312,18 +307,3 @@
 		}
 	})
 }
-
-// failed notes a stream that broke off.
-func (g *generation) failed(m fleet.Member, err error) {
-	if g.x.work.Err() == nil {
-		g.h.judge(g.x, m, err)
-	}
-}
-
-// succeeded notes a whole stream.
-func (g *generation) succeeded(m fleet.Member) { g.h.Outliers.Succeeded(m.ID, time.Now()) }
-
-// erratic notes an engine's own failure.
-func (g *generation) erratic(m fleet.Member) {
-	g.h.Outliers.Failed(m.ID, outlier.Erratic, time.Now())
-}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
@@ -132,7 +133,7 @@
 	body, err := s.answer.ReadAll(maxAnswerBytes)
 	g.h.began(g.x)
 	if s.answer.Status >= 500 {
-		g.erratic(s.member)
+		g.h.Outliers.Failed(s.member.ID, outlier.Erratic, time.Now())
 	}
 	s.close(placement.Failed)
 	if err != nil {
@@ -176,7 +177,7 @@
 // that ends the request.
 func (g *generation) resume(s *stream, cause error) (*stream, *refusal.Refusal) {
 	s.close(placement.Failed)
-	g.failed(s.member, cause)
+	g.h.judge(g.x, s.member, cause)
 	if r := g.x.ended(); r != nil {
 		return nil, r
 	}
@@ -228,7 +229,7 @@
 }
 
 func (b *body) finish() {
-	b.g.succeeded(b.s.member)
+	b.g.h.Outliers.Succeeded(b.s.member.ID, time.Now())
 	b.s.close(placement.Completed)
 }
 
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -21,6 +21,7 @@
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/orders"
 	"github.com/clementineshed/clementineshed/pkg/roles"
+	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/steadyclock"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -233,20 +234,17 @@
 	}
 }
 
-// review begins or ends the candidacy. It returns the present one.
-func (d *duties) review(held bool) *candidacy {
+// review begins or ends the candidacy.
+func (d *duties) review(held bool) {
 	wanted := slices.Contains(d.candidates(), d.host.settings.Host)
 	c := d.current()
 	switch {
 	case wanted && c == nil:
-		c = d.stand()
+		d.setCandidacy(d.stand())
 	case !wanted && c != nil && !held:
 		d.setCandidacy(nil)
 		d.end(c)
-		return nil
 	}
-	d.setCandidacy(c)
-	return c
 }
 
 func (d *duties) setCandidacy(c *candidacy) {
@@ -259,7 +257,7 @@
 func (d *duties) run(ctx context.Context) {
 	// The other hosts are heard within this time; until then each would take
 	// itself for the only candidate.
-	pause(ctx, hearingTime)
+	sleep.For(ctx, hearingTime)
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
 	held, reviewed := false, time.Time{}
@@ -277,13 +275,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // perform decides on what is due if this host holds the lease, and reports
 // whether it does.
 func (d *duties) perform(ctx context.Context, before bool) bool {
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -61,10 +62,7 @@
 			return
 		}
 		h.log.WithError(err).Warn("host_not_announced")
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceRetry):
-		}
+		sleep.For(ctx, announceRetry)
 	}
 }
 
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -62,8 +62,6 @@
 	// newest is the latest window that was counted in. A clock that is set back
 	// does not reopen a window whose counts have been flushed.
 	newest int64
-	// cutOff says that the last flush did not reach the log.
-	cutOff bool
 	// peersFirst hands all flushes to peers and appends them only if that fails.
 	peersFirst bool
 }
@@ -176,11 +174,6 @@
 		}
 		c.log.WithFields(log.Fields{"flushes": len(flushes), "error": err}).Warn("usage_handover_failed")
 	}
-	if c.isCutOff() {
-		// The append would fail late; peers take the counts meanwhile, and a count
-		// that arrives twice counts once.
-		c.hand(ctx, c.own(flushes))
-	}
 	errs := make([]error, len(flushes))
 	var wg sync.WaitGroup
 	for i, f := range flushes {
@@ -200,8 +193,10 @@
 			}
 		}
 	}
-	if before := c.noteCutOff(first != nil); first != nil && !before {
-		c.hand(ctx, failed)
+	if len(failed) > 0 && c.peers != nil {
+		if err := c.peers.Hand(ctx, failed); err != nil {
+			c.log.WithFields(log.Fields{"flushes": len(failed), "error": err}).Warn("usage_handover_failed")
+		}
 	}
 	return first
 }
@@ -227,43 +222,6 @@
 	}
 }
 
-func (c *Counter) isCutOff() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cutOff
-}
-
-// noteCutOff notes whether the last flush failed and returns whether the one
-// before did.
-func (c *Counter) noteCutOff(failed bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	before := c.cutOff
-	c.cutOff = failed
-	return before
-}
-
-// own returns the flushes of this process.
-func (c *Counter) own(flushes []Flush) []Flush {
-	var own []Flush
-	for _, f := range flushes {
-		if f.Incarnation == c.incarnation {
-			own = append(own, f)
-		}
-	}
-	return own
-}
-
-// hand passes flushes to peers.
-func (c *Counter) hand(ctx context.Context, flushes []Flush) {
-	if len(flushes) == 0 || c.peers == nil {
-		return
-	}
-	if err := c.peers.Hand(ctx, flushes); err != nil {
-		c.log.WithFields(log.Fields{"flushes": len(flushes), "error": err}).Warn("usage_handover_failed")
-	}
-}
-
 func (c *Counter) append(ctx context.Context, f Flush) error {
 	e, err := logservice.NewEntry(f.id(), kindCounts, f)
 	if err != nil {
