lease: do not wait for times that have passed; test/e2e: begin streams until the engine has one

In a synctest bubble all such goroutines share one context of the race detector, and two that receive at once corrupt it: eight goroutines that select on time.After(0) in a bubble crash each time with eight processors and never with one. The lease loop waited for zero when a renewal had taken its whole interval.

--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,6 +71,21 @@
 	},
 }
 
+// countingClock counts the waits that are over before they begin. Under the race
+// detector, the runtime crashes when two goroutines of a synctest bubble receive
+// from expired timers at once.
+type countingClock struct {
+	clockwork.Clock
+	expired *atomic.Int64
+}
+
+func (c countingClock) After(d time.Duration) <-chan time.Time {
+	if d <= 0 {
+		c.expired.Add(1)
+	}
+	return c.Clock.After(d)
+}
+
 type process struct {
 	m    *Manager
 	host string
@@ -98,6 +114,8 @@
 	gone   map[string]time.Time // host instances that left, by time
 	starts int
 	all    []*process
+	// expiredWaits counts the waits of the managers that were over at once.
+	expiredWaits atomic.Int64
 }
 
 func (w *world) absentFor(host string) time.Duration {
@@ -137,7 +155,7 @@
 		return time.Duration(pauses.Int63n(int64(longest)))
 	}
 	p.m = newManager(Options{
-		Client: f, Clock: clock, Rand: rand.New(rand.NewSource(w.random.Int63())),
+		Client: f, Clock: countingClock{clock, &w.expiredWaits}, Rand: rand.New(rand.NewSource(w.random.Int63())),
 		Incarnation: fmt.Sprintf("%s.%d", host, w.starts), Host: host, Address: host + ":1",
 		Keys: []Key{testKey}, HostAbsentFor: w.absentFor, HostListLag: hostLag,
 	}, w.s.guards, func(string) { time.Sleep(draw(w.s.pauseAppend)) })
@@ -225,6 +243,9 @@
 			f.Close()
 		}
 	})
+	if n := w.expiredWaits.Load(); n > 0 {
+		t.Errorf("seed %d: %d waits were over before they began", seed, n)
+	}
 	return !porcupine.CheckOperations(model, w.rc.orders), len(w.rc.orders)
 }
 
--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -33,11 +33,7 @@
 
 func (m *Manager) run(ctx context.Context, k Key) {
 	for ctx.Err() == nil {
-		delay := m.step(ctx, k)
-		select {
-		case <-ctx.Done():
-		case <-m.opts.Clock.After(delay):
-		}
+		m.pauseFor(ctx, m.step(ctx, k))
 	}
 }
 
@@ -67,7 +63,11 @@
 	return time.Duration(m.rand.Int63n(int64(claimSpread)))
 }
 
+// pauseFor waits for d or until ctx ends; it returns at once if d is not positive.
 func (m *Manager) pauseFor(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-m.opts.Clock.After(d):
--- a/test/e2e/endpoints_test.go
+++ b/test/e2e/endpoints_test.go
@@ -22,6 +22,9 @@
 // slowStreams makes a stream of 100 tokens last 5 s.
 var slowStreams = []string{"--stream-rate=20"}
 
+// mostStreams bounds the streams that are begun to reach a certain engine.
+const mostStreams = 60
+
 // beginStreams starts n streams over the hosts in turn and waits until each has
 // a token.
 func beginStreams(t *testing.T, d *Deployment, n, tokens int) []*Stream {
@@ -36,6 +39,25 @@
 	return streams
 }
 
+// beginStreamsAt starts n streams like beginStreams, and more until each of the
+// engines generates one: which engine gets a stream is drawn.
+func beginStreamsAt(t *testing.T, d *Deployment, n, tokens int, engines ...*StandIn) []*Stream {
+	t.Helper()
+	streams := beginStreams(t, d, n, tokens)
+	for _, e := range engines {
+		for more := n; ; more += 2 {
+			if times, _ := generates(d.journal(e)); len(times) > 0 {
+				break
+			}
+			if more >= mostStreams {
+				t.Fatalf("%d streams have begun, none at %s", more, e.Address)
+			}
+			streams = append(streams, beginStreams(t, d, 2, tokens)...)
+		}
+	}
+	return streams
+}
+
 func wantWhole(t *testing.T, what string, streams []*Stream) {
 	t.Helper()
 	for i, s := range streams {
@@ -75,16 +97,7 @@
 	t.Parallel()
 	d := Start(t, Options{EnginesPerDomain: 2, EngineFlags: slowStreams, Settings: shortLease})
 	drained, leaving := d.Engines[0], d.Engines[2]
-	streams := beginStreams(t, d, 12, 120)
-	// Which engine gets a stream is drawn; the test is about engines with work.
-	for _, s := range []*StandIn{drained, leaving} {
-		for {
-			if times, _ := generates(d.journal(s)); len(times) > 0 {
-				break
-			}
-			streams = append(streams, beginStreams(t, d, 2, 120)...)
-		}
-	}
+	streams := beginStreamsAt(t, d, 12, 120, drained, leaving)
 	d.register2(endpoint.Endpoint{ID: "engine-hartford-1", Instance: "engine-hartford-1-1", Address: leaving.Address, Domain: "hartford",
 		ChecksFencing: true, State: endpoint.StateLeaving, LeaveAtMillis: time.Now().Add(time.Minute).UnixMilli()})
 	Eventually(t, readyTime, "the drain is ordered", func() bool {
@@ -130,10 +143,7 @@
 	d.register2(endpoint.Endpoint{ID: "engine-nashua-1", Instance: "engine-nashua-1-1", Address: spot.Address, Domain: "nashua",
 		ChecksFencing: true, Kind: platformd.KindSpot, State: endpoint.StateLive})
 	time.Sleep(time.Second)
-	streams := beginStreams(t, d, 12, 140)
-	if times, _ := generates(d.journal(spot)); len(times) == 0 {
-		t.Fatal("the engine to be reclaimed has no stream")
-	}
+	streams := beginStreamsAt(t, d, 12, 140, spot)
 	d.Control(d.Platform.Address, http.MethodPost, "/control/reclaim", platformd.ReclaimRequest{Domain: "nashua", Kind: platformd.KindSpot, NoticeMillis: 2000})
 	time.Sleep(2 * time.Second)
 	spot.Kill()
