keyedlog, loadshare: three hosts read the store's keyed topics for all; freeport: one finder of ports

Leaders, the first three live hosts by hash, read and publish the pages as datagrams. The others apply them, read by themselves what they miss, and read as before while no leader tells that the store answers it. An outage that a leader has seen end is told as well, since hosts that do not read would take lapses for deaths.

platform's tests chose ports of the ephemeral range, which outgoing connections of parallel tests took (TestLogAndMetrics failed once: address already in use). All tests and dev now use one finder below that range.

--- a/pkg/dev/cluster.go
+++ b/pkg/dev/cluster.go
@@ -23,6 +23,7 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/endpointapi"
 	"github.com/clementineshed/clementineshed/pkg/entryhost"
+	"github.com/clementineshed/clementineshed/pkg/freeport"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/roles"
@@ -260,24 +261,6 @@
 	return logservice.NewHTTPClient(jsonhttp.New(c.log.Address(), jsonhttp.Options{}))
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", loopback)
-		if err != nil {
-			return "", err
-		}
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().String(), nil
-	}
-	l, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func (c *Cluster) startHosts() error {
 	ca, err := tlsconfig.NewDevCA(c.opts.Clock.Now())
 	if err != nil {
@@ -326,7 +309,7 @@
 	if err != nil {
 		return settings.Settings{}, err
 	}
-	peerAddress, err := freeAddress("udp")
+	peerAddress, err := freeport.Address()
 	if err != nil {
 		return settings.Settings{}, err
 	}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -91,6 +91,27 @@
 	}
 }
 
+// Returned returns how long ago the store came back after an outage whose lapses
+// may still come; zero if there is none.
+func (r *Registry) Returned(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down || !r.recentOutage(now) {
+		return 0
+	}
+	return max(now.Sub(r.storeBackAt), time.Nanosecond)
+}
+
+// NoteReturn notes an outage of the store that another host has seen end at a
+// time.
+func (r *Registry) NoteReturn(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.down && at.After(r.storeBackAt) {
+		r.storeBackAt = at
+	}
+}
+
 // recentOutage must be called with mu held.
 func (r *Registry) recentOutage(now time.Time) bool {
 	return r.down || !r.storeBackAt.IsZero() && now.Sub(r.storeBackAt) < OutageGrace
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -82,7 +82,9 @@
 	// Failed and Answered, if set, are told of each read.
 	Failed   func(error)
 	Answered func()
-	Log      log.Interface
+	// Sharing is nil if every host reads by itself.
+	Sharing *Sharing
+	Log     log.Interface
 }
 
 // Follower follows one topic. Run is called once; the other methods are safe for
@@ -93,8 +95,17 @@
 	next    atomic.Int64
 	known   bool
 	failing bool
+	// offers are pages that other hosts have read; news wakes a follower that
+	// waits for them.
+	offers chan offer
+	news   chan struct{}
 
 	mu sync.Mutex
+	// told is the furthest offset that another host has told, toldAt since when;
+	// coveredAt is when one last told that is not behind this host; answeredAt is
+	// when the store last answered a read. All are guarded by mu.
+	told                          int64
+	toldAt, coveredAt, answeredAt time.Time
 	// cancel ends the read in progress; nil if there is none. It is guarded by mu.
 	cancel context.CancelFunc
 	// began is when it was sent; guarded by mu.
@@ -115,9 +126,6 @@
 	longestGrace = 5 * time.Second
 )
 
-// Next returns the offset up to which the topic has been followed.
-func (f *Follower) Next() int64 { return f.next.Load() }
-
 // Behind is told that another host has followed the topic up to an offset. If the
 // read in progress has not shown the same for a while, its connection has gone
 // silent, and another read is begun. A read that has just begun is left alone:
@@ -137,12 +145,17 @@
 }
 
 // NewFollower returns a follower that Run starts.
-func NewFollower(opts Options) *Follower { return &Follower{opts: opts} }
+func NewFollower(opts Options) *Follower {
+	return &Follower{opts: opts, offers: make(chan offer, maxOffers), news: make(chan struct{}, 1)}
+}
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if !f.await(ctx) {
+			continue
+		}
 		started := time.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -157,7 +170,7 @@
 		backoff = minBackoff
 		f.note(nil)
 		if f.opts.Pace != nil {
-			sleep.For(ctx, f.opts.Pace()-time.Since(started))
+			f.pause(ctx, f.opts.Pace()-time.Since(started))
 		}
 	}
 }
@@ -193,7 +206,8 @@
 	readCtx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
 	f.setCancel(cancel)
-	page, err := f.opts.Client.Read(readCtx, f.opts.Topic, f.next.Load(), wait)
+	from := f.next.Load()
+	page, err := f.opts.Client.Read(readCtx, f.opts.Topic, from, wait)
 	if f.finish(err) {
 		// The next read begins on another connection.
 		return nil
@@ -212,6 +226,7 @@
 	f.next.Store(page.Next)
 	// What is left has newer values of the same keys.
 	f.known = page.Next >= page.End
+	f.publish(from, page)
 	return nil
 }
 
@@ -242,7 +257,7 @@
 	defer f.mu.Unlock()
 	f.cancel = nil
 	if err == nil {
-		f.interruptions = 0
+		f.interruptions, f.answeredAt = 0, time.Now()
 	}
 	return f.interrupted && err != nil
 }
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -183,8 +183,8 @@
 	l.changed = make(chan struct{})
 	l.mu.Unlock()
 	eventually(t, "the state after records were dropped", func() bool { return s.get("a") == "" && s.get("c") == "4" })
-	if f.Next() != 5 {
-		t.Errorf("next offset %d", f.Next())
+	if f.next.Load() != 5 {
+		t.Errorf("next offset %d", f.next.Load())
 	}
 }
 
@@ -253,8 +253,8 @@
 	if took := time.Since(began); took > time.Second {
 		t.Errorf("read after %v", took)
 	}
-	if f.Next() != 42 {
-		t.Errorf("next offset %d", f.Next())
+	if f.next.Load() != 42 {
+		t.Errorf("next offset %d", f.next.Load())
 	}
 }
 
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -1,11 +1,13 @@
 // Package loadshare tells the other entry hosts what this one sends to engines,
-// so that many hosts that decide at once do not choose the same engine.
+// so that many hosts that decide at once do not choose the same engine, and what
+// this one has read in the store, so that not all have to read it.
 //
 // State: the peers' addresses and when each was last heard. Reports travel as
 // datagrams: one that is lost is missed by the receiver's view of the engines
 // and by nothing else. Nothing that is billed, ordered or promised depends on
 // them. Reports are collected for a time that grows with the number of peers,
-// which bounds the datagrams that one host receives each second.
+// which bounds the datagrams that one host receives each second. Pages of the
+// store are sent at once; who misses one reads it in the store.
 //
 // Datagrams are used in place of QUIC streams because a report is worth nothing
 // once it is late, and the platform provides no keys for links between hosts.
@@ -23,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -47,6 +50,10 @@
 	maxDatagramBytes = 1300
 	// sendBytes is the usual size of one report, for cutting datagrams.
 	sendBytes = 110
+	// maxPageBytes bounds the records of one datagram, each with recordOverhead for
+	// its offset and the names of its fields; the rest is for the other fields.
+	maxPageBytes   = maxDatagramBytes - 200
+	recordOverhead = 50
 	// maxQueued bounds the reports that wait; older ones are worth least.
 	maxQueued = 512
 )
@@ -57,8 +64,26 @@
 	Host    string
 	Reports []report
 	Flushes []usage.Flush
-	// Seen holds how far the host has read the store, by topic.
-	Seen map[string]int64
+	Position
+	Pages []sharedPage
+}
+
+// Position is what a host knows of the store.
+type Position struct {
+	// Next holds how far the host has followed the topics whose reads the store
+	// answers.
+	Next map[string]int64
+	// ReturnedMillis is how long ago the store came back after an outage whose
+	// consequences may still come; zero if there was none.
+	ReturnedMillis int64
+}
+
+// sharedPage is a page of a topic, or a part of one, from an offset on.
+type sharedPage struct {
+	_          struct{} `cbor:",toarray"`
+	Topic      string
+	From, Next int64
+	Records    []keyedlog.Record
 }
 
 // report is a placement.Sent of a service, or an engine that changes its role.
@@ -89,10 +114,11 @@
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
 	Blocked func(service, engine string, d time.Duration)
-	// Seen returns how far this host has read the store, by topic; Behind is told
-	// how far another one has.
-	Seen   func() map[string]int64
-	Behind func(map[string]int64)
+	// Position returns what this host knows of the store; Told is given what another
+	// one knows, Offer a page that it has read.
+	Position func() Position
+	Told     func(Position)
+	Offer    func(topic string, from int64, page keyedlog.Page)
 	// Accept receives counts of a host that does not reach the store.
 	Accept func([]usage.Flush)
 	Log    log.Interface
@@ -179,12 +205,67 @@
 		s.queue = append(s.queue, r)
 	}
 	s.mu.Unlock()
+	s.Wake()
+}
+
+// Publish sends a page of a topic, read from an offset on, to all peers at once.
+func (s *Share) Publish(topic string, from int64, page keyedlog.Page) {
+	addresses := s.addresses()
+	for _, part := range cutPage(topic, from, page) {
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Position: s.opts.Position(), Pages: []sharedPage{part}})
+		if err != nil {
+			s.opts.Log.WithError(err).Error("page_not_encoded")
+			return
+		}
+		s.send(data, addresses)
+	}
+}
+
+// cutPage divides a page into parts that fit into a datagram each; the parts go on
+// from each other. A record that is larger makes a part of its own.
+func cutPage(topic string, from int64, page keyedlog.Page) []sharedPage {
+	var parts []sharedPage
+	part, size := sharedPage{Topic: topic, From: from}, 0
+	for _, r := range page.Records {
+		bytes := len(r.Key) + len(r.Value) + recordOverhead
+		if size > 0 && size+bytes > maxPageBytes {
+			part.Next = r.Offset
+			parts = append(parts, part)
+			part, size = sharedPage{Topic: topic, From: r.Offset}, 0
+		}
+		part.Records = append(part.Records, r)
+		size += bytes
+	}
+	part.Next = page.Next
+	return append(parts, part)
+}
+
+// Wake has the peers told of this host's position soon.
+func (s *Share) Wake() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
+// send passes a datagram to each address. One that cannot be sent counts as lost.
+func (s *Share) send(data []byte, addresses []netip.AddrPort) {
+	for _, address := range addresses {
+		_, _ = s.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+// addresses returns those of all peers, heard or not.
+func (s *Share) addresses() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(s.peers))
+	for _, p := range s.peers {
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
+
 // Hand passes counts to up to handPeers of the named hosts. It fails if none of
 // them was heard lately.
 func (s *Share) Hand(hosts []string, flushes []usage.Flush) error {
@@ -266,23 +347,17 @@
 	s.mu.Lock()
 	queue := s.queue
 	s.queue = nil
-	addresses := make([]netip.AddrPort, 0, len(s.peers))
-	for _, p := range s.peers {
-		addresses = append(addresses, p.address)
-	}
 	s.mu.Unlock()
+	addresses := s.addresses()
 	for first := true; first || len(queue) > 0; first = false {
 		n := min(len(queue), maxDatagramBytes/sendBytes)
-		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Seen: s.opts.Seen()})
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Position: s.opts.Position()})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("load_report_not_encoded")
 			return
 		}
 		queue = queue[n:]
-		for _, address := range addresses {
-			// A datagram that cannot be sent counts as lost.
-			_, _ = s.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
-		}
+		s.send(data, addresses)
 	}
 }
 
@@ -316,9 +391,11 @@
 	if p == nil {
 		return
 	}
-	if len(m.Seen) > 0 {
-		s.opts.Behind(m.Seen)
+	for _, p := range m.Pages {
+		s.opts.Offer(p.Topic, p.From, keyedlog.Page{Records: p.Records, Next: p.Next, End: p.Next})
 	}
+	// Pages come before the position, which says that they exist.
+	s.opts.Told(m.Position)
 	if len(m.Flushes) > 0 {
 		s.opts.Accept(m.Flushes)
 	}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/logging"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -23,7 +24,9 @@
 	sends   []placement.Sent
 	blocked map[string]time.Duration
 	flushes []usage.Flush
-	seen    map[string]int64
+	told    Position
+	offers  []keyedlog.Page
+	froms   []int64
 }
 
 func start(t *testing.T, name string) *node {
@@ -34,11 +37,14 @@
 	}
 	n := &node{conn: conn, blocked: map[string]time.Duration{}}
 	n.share = New(Options{Host: name, Conn: conn, Log: logging.Discard(),
-		Observe: func(_ string, s placement.Sent) { n.note(func() { n.sends = append(n.sends, s) }) },
-		Blocked: func(_, engine string, d time.Duration) { n.note(func() { n.blocked[engine] = d }) },
-		Accept:  func(f []usage.Flush) { n.note(func() { n.flushes = append(n.flushes, f...) }) },
-		Seen:    func() map[string]int64 { return map[string]int64{"t": 7} },
-		Behind:  func(seen map[string]int64) { n.note(func() { n.seen = seen }) },
+		Observe:  func(_ string, s placement.Sent) { n.note(func() { n.sends = append(n.sends, s) }) },
+		Blocked:  func(_, engine string, d time.Duration) { n.note(func() { n.blocked[engine] = d }) },
+		Accept:   func(f []usage.Flush) { n.note(func() { n.flushes = append(n.flushes, f...) }) },
+		Position: func() Position { return Position{Next: map[string]int64{"t": 7}, ReturnedMillis: 900} },
+		Told:     func(p Position) { n.note(func() { n.told = p }) },
+		Offer: func(_ string, from int64, page keyedlog.Page) {
+			n.note(func() { n.offers, n.froms = append(n.offers, page), append(n.froms, from) })
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -94,7 +100,7 @@
 	eventually(t, "all reports", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && b.seen["t"] == 7
+		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && b.told.Next["t"] == 7 && b.told.ReturnedMillis == 900
 	})
 	if !reflect.DeepEqual(b.sends[0], sent) || b.flushes[0].Teams["acme"].Requests != 3 {
 		t.Errorf("got %+v and %+v", b.sends[0], b.flushes[0])
@@ -148,3 +154,31 @@
 		t.Error("counts were handed to a silent host")
 	}
 }
+
+// TestPagesGoOnFromEachOther guards against records that are lost where a page of
+// the store is divided into datagrams.
+func TestPagesGoOnFromEachOther(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	connect(t, map[string]*node{"a": a, "b": b})
+	page := keyedlog.Page{Next: 40}
+	for offset := int64(10); offset < 38; offset += 3 {
+		page.Records = append(page.Records, keyedlog.Record{Key: "e", Value: make([]byte, 400), Offset: offset})
+	}
+	a.share.Publish("t", 8, page)
+	eventually(t, "the whole page", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.offers) > 0 && b.offers[len(b.offers)-1].Next == 40
+	})
+	records, next := 0, int64(8)
+	for i, p := range b.offers {
+		if b.froms[i] != next {
+			t.Errorf("part %d is from %d on, the one before ends at %d", i, b.froms[i], next)
+		}
+		next = p.Next
+		records += len(p.Records)
+	}
+	if records != len(page.Records) || len(b.offers) < 4 {
+		t.Errorf("%d records in %d parts", records, len(b.offers))
+	}
+}
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/loadshare"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 )
@@ -15,50 +17,93 @@
 const (
 	// leastWait and mostWait bound how long a read of the store waits for a record,
 	// and waitPerHost is its growth with the hosts. A store that has gone silent
-	// looks like one without records; with the hosts' reads spread over that time,
-	// one of them finds out within waitPerHost, and tells the others. A read must
-	// end within the time in which a configuration has to be in force.
+	// looks like one without records, so a leader's reads are short; a host that
+	// reads because no leader is heard is one of many.
 	leastWait   = 1200 * time.Millisecond
 	mostWait    = 8 * time.Second
 	waitPerHost = 130 * time.Millisecond
-	// pacePerHost times the hosts is the least time between two reads of the
-	// announcements, up to mostPace: many change at once, and a leaving endpoint
-	// must be known within its drain time.
-	pacePerHost = 10 * time.Millisecond
-	mostPace    = 700 * time.Millisecond
+	// endpointsPace is the least time between two reads of the announcements: many
+	// change at once, and a leaving endpoint must be known within its drain time,
+	// which is two seconds or more.
+	endpointsPace = 250 * time.Millisecond
+	// maxLeaders is the number of hosts that read the store for all: two of them
+	// may be lost at once.
+	maxLeaders = 3
+	// freshTime is how long after an answer of the store a host tells others how
+	// far it has read. A leader's reads are answered within leastWait.
+	freshTime = 2 * time.Second
 )
 
+// leads reports whether this host reads the store for the others.
+func (h *Host) leads() bool {
+	first := h.duties.candidates()
+	return slices.Contains(first[:min(len(first), maxLeaders)], h.settings.Host)
+}
+
+// sharing has the leaders read a topic and publish what they read.
+func (h *Host) sharing(topic string) *keyedlog.Sharing {
+	return &keyedlog.Sharing{Leads: h.leads, Publish: func(from int64, page keyedlog.Page) { h.share.Publish(topic, from, page) }}
+}
+
 // storeWait is how long a read of the store waits for a record.
 func (h *Host) storeWait() time.Duration {
-	wait := min(mostWait, max(leastWait, time.Duration(h.hosts())*waitPerHost))
+	wait := leastWait
+	if !h.leads() {
+		wait = min(mostWait, max(leastWait, time.Duration(h.hosts())*waitPerHost))
+	}
 	// The spread keeps the hosts' reads apart.
 	return wait - rand.N(wait/4)
 }
 
-// endpointsPace is the least time between two reads of the announcements.
-func (h *Host) endpointsPace() time.Duration {
-	return min(mostPace, time.Duration(h.hosts())*pacePerHost)
+// followers returns the followers of the store by topic.
+func (h *Host) followers() map[string]*keyedlog.Follower {
+	return map[string]*keyedlog.Follower{
+		h.adapter.ConfigurationTopic: h.configuration,
+		h.adapter.EndpointsTopic:     h.endpoints,
+		h.adapter.HostsTopic:         h.peers,
+	}
 }
 
-// seen returns how far this host has read the store, for the other hosts.
-func (h *Host) seen() map[string]int64 {
-	return map[string]int64{
-		h.adapter.ConfigurationTopic: h.configuration.Next(),
-		h.adapter.EndpointsTopic:     h.endpoints.Next(),
+// position returns what this host knows of the store, for the other hosts.
+func (h *Host) position() loadshare.Position {
+	now := time.Now()
+	p := loadshare.Position{Next: map[string]int64{}, ReturnedMillis: h.fleet.Returned(now).Milliseconds()}
+	for topic, f := range h.followers() {
+		if next, at := f.Answered(); now.Sub(at) <= freshTime {
+			p.Next[topic] = next
+		}
 	}
+	return p
 }
 
-// behind compares how far another host has read the store.
-func (h *Host) behind(seen map[string]int64) {
-	h.configuration.Behind(seen[h.adapter.ConfigurationTopic])
-	h.endpoints.Behind(seen[h.adapter.EndpointsTopic])
+// told takes over what another host knows of the store.
+func (h *Host) told(p loadshare.Position) {
+	if p.ReturnedMillis > 0 {
+		h.fleet.NoteReturn(time.Now().Add(-time.Duration(p.ReturnedMillis) * time.Millisecond))
+	}
+	followers := h.followers()
+	for topic, next := range p.Next {
+		if f := followers[topic]; f != nil {
+			f.Told(next)
+		}
+	}
+}
+
+// offer takes a page of the store that another host has read.
+func (h *Host) offer(topic string, from int64, page keyedlog.Page) {
+	if f := h.followers()[topic]; f != nil {
+		f.Offer(from, page)
+	}
 }
 
 // configurationFollower keeps the newest configuration in force.
 func (h *Host) configurationFollower() *keyedlog.Follower {
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.Keyed, Topic: h.adapter.ConfigurationTopic, Wait: h.storeWait,
-		Apply: h.applyConfiguration,
+		// A configuration may be larger than a datagram: the hosts read it themselves
+		// once a leader tells that there is one.
+		Sharing: &keyedlog.Sharing{Leads: h.leads},
+		Apply:   h.applyConfiguration,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
 				h.applyConfiguration(r)
@@ -79,6 +124,7 @@
 		return
 	}
 	taken := h.routes.Offer(routes.NewTable(document))
+	h.share.Wake()
 	h.log.WithFields(log.Fields{"version": document.Version, "offset": r.Offset, "routes": len(document.Routes), "teams": len(document.Teams), "taken": taken}).Info("configuration_read")
 	if taken {
 		h.refreshPhysics(document)
@@ -102,7 +148,8 @@
 // endpointsFollower keeps the fleet as announced.
 func (h *Host) endpointsFollower() *keyedlog.Follower {
 	return keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: h.storeWait, Pace: h.endpointsPace,
+		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: h.storeWait,
+		Pace: func() time.Duration { return endpointsPace }, Sharing: h.sharing(h.adapter.EndpointsTopic),
 		Apply: func(r keyedlog.Record) {
 			h.applyEndpoint(r)
 			h.refreshModels()
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -75,10 +75,10 @@
 	metrics  *relay.Metrics
 	server   *fasthttp.Server
 	conns    *callerConns
-	// configuration and endpoints follow the store.
-	configuration, endpoints *keyedlog.Follower
-	share                    *loadshare.Share
-	duties                   *duties
+	// configuration, endpoints and peers follow the store.
+	configuration, endpoints, peers *keyedlog.Follower
+	share                           *loadshare.Share
+	duties                          *duties
 
 	// fleetVersion is the version of the fleet that the models know; it is used
 	// by one goroutine at a time under modelMu.
@@ -102,7 +102,7 @@
 		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
-	h.configuration, h.endpoints = h.configurationFollower(), h.endpointsFollower()
+	h.configuration, h.endpoints, h.peers = h.configurationFollower(), h.endpointsFollower(), h.peersFollower()
 	h.server = &fasthttp.Server{
 		Handler: h.handler.Handle, ConnState: h.conns.changed, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, NoDefaultDate: true,
@@ -157,14 +157,14 @@
 		return errors.Wrap(err, "listen for reports of other hosts")
 	}
 	defer func() { _ = link.Close() }()
-	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Seen: h.seen, Behind: h.behind, Log: h.log})
+	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Position: h.position, Told: h.told, Offer: h.offer, Log: h.log})
 	h.duties = newDuties(h, h.adapter.Stream, h.adapter.Platform)
 	work, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { h.handler.Run(work) })
 	wg.Go(func() { h.configuration.Run(work) })
 	wg.Go(func() { h.endpoints.Run(work) })
-	wg.Go(func() { h.followHosts(work) })
+	wg.Go(func() { h.peers.Run(work) })
 	wg.Go(func() { h.announce(work) })
 	wg.Go(func() { h.share.Run(work) })
 	wg.Go(func() { h.duties.run(work) })
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// hostsWait and hostsPace bound the reads of the other hosts' addresses, which
-	// change only when hosts come and go.
-	hostsWait = 10 * time.Second
+	// hostsPace bounds the reads of the other hosts' addresses, which change only
+	// when hosts come and go.
 	hostsPace = time.Second
 	// announceTimeout bounds one announcement of this host; announceRetry is the
 	// wait after one that failed.
@@ -25,11 +24,11 @@
 	longestBlock = 15 * time.Second
 )
 
-// followHosts keeps the addresses of the other hosts.
-func (h *Host) followHosts(ctx context.Context) {
-	keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic,
-		Wait: func() time.Duration { return hostsWait }, Pace: func() time.Duration { return hostsPace },
+// peersFollower keeps the addresses of the other hosts.
+func (h *Host) peersFollower() *keyedlog.Follower {
+	return keyedlog.NewFollower(keyedlog.Options{
+		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic, Sharing: h.sharing(h.adapter.HostsTopic),
+		Wait: h.storeWait, Pace: func() time.Duration { return hostsPace },
 		Apply: h.applyHost,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
@@ -37,7 +36,7 @@
 			}
 		},
 		Log: h.log,
-	}).Run(ctx)
+	})
 }
 
 func (h *Host) applyHost(r keyedlog.Record) {
--- a/pkg/standin/command/command_test.go
+++ b/pkg/standin/command/command_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/clementineshed/clementineshed/pkg/freeport"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 )
 
@@ -41,12 +41,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // Guards against a subcommand that does not serve, or does not close.
--- a/test/e2e/process.go
+++ b/test/e2e/process.go
@@ -3,8 +3,7 @@
 import (
 	"bytes"
 	"fmt"
-	"math/rand/v2"
-	"net"
+	"github.com/clementineshed/clementineshed/pkg/freeport"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -150,32 +149,14 @@
 	return b.buffer.String()
 }
 
-// Ports below the system's ephemeral range, so that no outgoing connection
-// takes a chosen port before its process binds it.
-const (
-	lowestPort = 20000
-	ports      = 12000
-)
-
 // freeAddress returns a loopback address that neither TCP nor UDP uses.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		u, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		return address
+	address, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port on loopback")
-	return ""
+	return address
 }
 
 // Eventually polls condition until it holds, and fails the test after limit.
