fleet: the store is away when it answers no host, not when one host gets no answer

Hosts tell each other when the store last answered them; two seconds without an answer to any host are an outage.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -14,6 +14,11 @@
 // one heartbeat.
 const OutageGrace = 3200 * time.Millisecond
 
+// outageGap is the time without an answer of the store to any host from which on
+// it counts as away. An announcement lapses after three heartbeats of more than a
+// second without one.
+const outageGap = 2 * time.Second
+
 // Member is an endpoint of the fleet.
 type Member struct {
 	endpoint.Endpoint
@@ -59,10 +64,10 @@
 	members map[string]Member
 	// missing holds when the announcement of a member that is still used lapsed.
 	missing map[string]time.Time
-	// storeFailedAt and storeBackAt describe the last outage of the store.
-	storeFailedAt, storeBackAt time.Time
-	down                       bool
-	version                    int64
+	// answeredAt is when the store last answered a host, storeBackAt when it did so
+	// for the first time after the last outage.
+	answeredAt, storeBackAt time.Time
+	version                 int64
 	// lists caches Members; each change of the members empties it.
 	lists map[string][]Member
 }
@@ -72,49 +77,23 @@
 	return &Registry{members: map[string]Member{}, missing: map[string]time.Time{}, lists: map[string][]Member{}}
 }
 
-// StoreFailed notes that the store did not answer at now.
-func (r *Registry) StoreFailed(now time.Time) {
+// StoreAnswered notes that the store answered a host, this one or another, at a
+// time. A host that alone gets no answers is cut off: the announcements that lapse
+// meanwhile say that their endpoints are gone.
+func (r *Registry) StoreAnswered(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.down {
-		r.storeFailedAt = now
-	}
-	r.down = true
-}
-
-// StoreAnswered notes that the store answered at now.
-func (r *Registry) StoreAnswered(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.down {
-		r.down, r.storeBackAt = false, now
-	}
-}
-
-// Returned returns how long ago the store came back after an outage whose lapses
-// may still come; zero if there is none.
-func (r *Registry) Returned(now time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.down || !r.recentOutage(now) {
-		return 0
-	}
-	return max(now.Sub(r.storeBackAt), time.Nanosecond)
-}
-
-// NoteReturn notes an outage of the store that another host has seen end at a
-// time.
-func (r *Registry) NoteReturn(at time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.down && at.After(r.storeBackAt) {
+	if !r.answeredAt.IsZero() && at.Sub(r.answeredAt) > outageGap {
 		r.storeBackAt = at
 	}
+	if at.After(r.answeredAt) {
+		r.answeredAt = at
+	}
 }
 
 // recentOutage must be called with mu held.
 func (r *Registry) recentOutage(now time.Time) bool {
-	return r.down || !r.storeBackAt.IsZero() && now.Sub(r.storeBackAt) < OutageGrace
+	return !r.answeredAt.IsZero() && now.Sub(r.answeredAt) > outageGap || !r.storeBackAt.IsZero() && now.Sub(r.storeBackAt) < OutageGrace
 }
 
 // Announce applies an announcement.
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -44,7 +44,7 @@
 	r := NewRegistry()
 	r.Announce(member("back", 1, 1, endpoint.StateLive))
 	r.Announce(member("dead", 1, 1, endpoint.StateLive))
-	r.StoreFailed(start)
+	r.StoreAnswered(start.Add(-outageGap))
 	for _, id := range []string{"back", "dead"} {
 		if got := r.Remove(id, start.Add(time.Second)); got != Held {
 			t.Errorf("%s: %q", id, got)
@@ -54,19 +54,41 @@
 		t.Errorf("dropped in the outage: %v", gone)
 	}
 	back := start.Add(40 * time.Second)
-	r.StoreAnswered(back)
+	answered := back
+	// answer has the store answer each second until a time.
+	answer := func(until time.Time) time.Time {
+		for ; !answered.After(until); answered = answered.Add(time.Second) {
+			r.StoreAnswered(answered)
+		}
+		return until
+	}
+	answer(back)
 	r.Announce(member("back", 1, 2, endpoint.StateLive))
-	if gone := r.Expire(back.Add(OutageGrace / 2)); len(gone) > 0 {
+	if gone := r.Expire(answer(back.Add(OutageGrace / 2))); len(gone) > 0 {
 		t.Errorf("dropped too early: %v", gone)
 	}
-	if gone := r.Expire(back.Add(OutageGrace)); len(gone) != 1 || gone[0] != "dead" {
+	if gone := r.Expire(answer(back.Add(OutageGrace))); len(gone) != 1 || gone[0] != "dead" {
 		t.Errorf("dropped %v", gone)
 	}
-	if got := r.Remove("back", back.Add(time.Minute)); got != Gone {
+	if got := r.Remove("back", answer(back.Add(time.Minute))); got != Gone {
 		t.Errorf("without an outage: %q", got)
 	}
 }
 
+// TestCutOffHost guards against endpoints that are held though they are gone,
+// because one host had no answers while the store answered others.
+func TestCutOffHost(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(member("gone", 1, 1, endpoint.StateLive))
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += time.Second {
+		// These are answers to other hosts.
+		r.StoreAnswered(start.Add(elapsed))
+	}
+	if got := r.Remove("gone", start.Add(10*time.Second)); got != Gone {
+		t.Errorf("%q", got)
+	}
+}
+
 // TestReset guards against endpoints that left while records were missed.
 func TestReset(t *testing.T) {
 	r := NewRegistry()
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -79,8 +79,7 @@
 	Apply func(Record)
 	// Reset receives the whole state.
 	Reset func([]Record)
-	// Failed and Answered, if set, are told of each read.
-	Failed   func(error)
+	// Answered, if set, is told of each read that the store answered.
 	Answered func()
 	// Sharing is nil if every host reads by itself.
 	Sharing *Sharing
@@ -193,9 +192,6 @@
 		fields.WithField("step", step).WithField("peer", peer).WithError(err).Warn("store_lost")
 	}
 	f.failing = true
-	if f.opts.Failed != nil {
-		f.opts.Failed(err)
-	}
 }
 
 func (f *Follower) step(ctx context.Context) error {
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -171,7 +171,9 @@
 	var applied []string
 	f := NewFollower(Options{Apply: func(r Record) { applied = append(applied, string(r.Value)) }})
 	f.next.Store(5)
-	record := func(offset int64, value string) Record { return Record{Key: value, Value: []byte(value), Offset: offset} }
+	record := func(offset int64, value string) Record {
+		return Record{Key: value, Value: []byte(value), Offset: offset}
+	}
 	f.take(offer{7, Page{Records: []Record{record(7, "after a gap")}, Next: 8}})
 	f.take(offer{2, Page{Records: []Record{record(4, "known"), record(6, "new")}, Next: 7}})
 	f.take(offer{2, Page{Records: []Record{record(6, "repeated")}, Next: 7}})
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -64,18 +64,17 @@
 	Host    string
 	Reports []report
 	Flushes []usage.Flush
-	Position
-	Pages []sharedPage
+	// Followed holds the topics whose reads the store answers.
+	Followed map[string]Progress
+	Pages    []sharedPage
 }
 
-// Position is what a host knows of the store.
-type Position struct {
-	// Next holds how far the host has followed the topics whose reads the store
-	// answers.
-	Next map[string]int64
-	// ReturnedMillis is how long ago the store came back after an outage whose
-	// consequences may still come; zero if there was none.
-	ReturnedMillis int64
+// Progress is how far a host has followed a topic, and how long ago the store
+// answered its last read.
+type Progress struct {
+	_         struct{} `cbor:",toarray"`
+	Next      int64
+	AgeMillis int64
 }
 
 // sharedPage is a page of a topic, or a part of one, from an offset on.
@@ -114,10 +113,11 @@
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
 	Blocked func(service, engine string, d time.Duration)
-	// Position returns what this host knows of the store; Told is given what another
-	// one knows, Offer a page that it has read.
-	Position func() Position
-	Told     func(Position)
+	// Followed returns how far this host has followed the topics whose reads the
+	// store answers; Told is given the same of another host, Offer a page that it
+	// has read.
+	Followed func() map[string]Progress
+	Told     func(map[string]Progress)
 	Offer    func(topic string, from int64, page keyedlog.Page)
 	// Accept receives counts of a host that does not reach the store.
 	Accept func([]usage.Flush)
@@ -212,7 +212,7 @@
 func (s *Share) Publish(topic string, from int64, page keyedlog.Page) {
 	addresses := s.addresses()
 	for _, part := range cutPage(topic, from, page) {
-		data, err := cbor.Marshal(message{Host: s.opts.Host, Position: s.opts.Position(), Pages: []sharedPage{part}})
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Followed: s.opts.Followed(), Pages: []sharedPage{part}})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("page_not_encoded")
 			return
@@ -240,7 +240,7 @@
 	return append(parts, part)
 }
 
-// Wake has the peers told of this host's position soon.
+// Wake has the peers told of this host's progress soon.
 func (s *Share) Wake() {
 	select {
 	case s.wake <- struct{}{}:
@@ -351,7 +351,7 @@
 	addresses := s.addresses()
 	for first := true; first || len(queue) > 0; first = false {
 		n := min(len(queue), maxDatagramBytes/sendBytes)
-		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Position: s.opts.Position()})
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Followed: s.opts.Followed()})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("load_report_not_encoded")
 			return
@@ -394,8 +394,8 @@
 	for _, p := range m.Pages {
 		s.opts.Offer(p.Topic, p.From, keyedlog.Page{Records: p.Records, Next: p.Next, End: p.Next})
 	}
-	// Pages come before the position, which says that they exist.
-	s.opts.Told(m.Position)
+	// Pages come before the progress, which says that they exist.
+	s.opts.Told(m.Followed)
 	if len(m.Flushes) > 0 {
 		s.opts.Accept(m.Flushes)
 	}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -24,7 +24,7 @@
 	sends   []placement.Sent
 	blocked map[string]time.Duration
 	flushes []usage.Flush
-	told    Position
+	told    map[string]Progress
 	offers  []keyedlog.Page
 	froms   []int64
 }
@@ -40,8 +40,8 @@
 		Observe:  func(_ string, s placement.Sent) { n.note(func() { n.sends = append(n.sends, s) }) },
 		Blocked:  func(_, engine string, d time.Duration) { n.note(func() { n.blocked[engine] = d }) },
 		Accept:   func(f []usage.Flush) { n.note(func() { n.flushes = append(n.flushes, f...) }) },
-		Position: func() Position { return Position{Next: map[string]int64{"t": 7}, ReturnedMillis: 900} },
-		Told:     func(p Position) { n.note(func() { n.told = p }) },
+		Followed: func() map[string]Progress { return map[string]Progress{"t": {Next: 7, AgeMillis: 900}} },
+		Told:     func(p map[string]Progress) { n.note(func() { n.told = p }) },
 		Offer: func(_ string, from int64, page keyedlog.Page) {
 			n.note(func() { n.offers, n.froms = append(n.offers, page), append(n.froms, from) })
 		},
@@ -100,7 +100,7 @@
 	eventually(t, "all reports", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && b.told.Next["t"] == 7 && b.told.ReturnedMillis == 900
+		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && b.told["t"].Next == 7 && b.told["t"].AgeMillis == 900
 	})
 	if !reflect.DeepEqual(b.sends[0], sent) || b.flushes[0].Teams["acme"].Requests != 3 {
 		t.Errorf("got %+v and %+v", b.sends[0], b.flushes[0])
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -64,28 +64,28 @@
 	}
 }
 
-// position returns what this host knows of the store, for the other hosts.
-func (h *Host) position() loadshare.Position {
+// followed returns how far this host has read the store, for the other hosts.
+func (h *Host) followed() map[string]loadshare.Progress {
 	now := time.Now()
-	p := loadshare.Position{Next: map[string]int64{}, ReturnedMillis: h.fleet.Returned(now).Milliseconds()}
+	out := map[string]loadshare.Progress{}
 	for topic, f := range h.followers() {
 		if next, at := f.Answered(); now.Sub(at) <= freshTime {
-			p.Next[topic] = next
+			out[topic] = loadshare.Progress{Next: next, AgeMillis: now.Sub(at).Milliseconds()}
 		}
 	}
-	return p
+	return out
 }
 
-// told takes over what another host knows of the store.
-func (h *Host) told(p loadshare.Position) {
-	if p.ReturnedMillis > 0 {
-		h.fleet.NoteReturn(time.Now().Add(-time.Duration(p.ReturnedMillis) * time.Millisecond))
-	}
-	followers := h.followers()
-	for topic, next := range p.Next {
-		if f := followers[topic]; f != nil {
-			f.Told(next)
+// told takes over how far another host has read the store.
+func (h *Host) told(followed map[string]loadshare.Progress) {
+	followers, now := h.followers(), time.Now()
+	for topic, p := range followed {
+		f := followers[topic]
+		if f == nil || p.AgeMillis < 0 {
+			continue
 		}
+		h.fleet.StoreAnswered(now.Add(-time.Duration(p.AgeMillis) * time.Millisecond))
+		f.Told(p.Next)
 	}
 }
 
@@ -154,10 +154,7 @@
 			h.applyEndpoint(r)
 			h.refreshModels()
 		},
-		Reset: h.resetEndpoints,
-		Failed: func(error) {
-			h.fleet.StoreFailed(time.Now())
-		},
+		Reset:    h.resetEndpoints,
 		Answered: func() { h.fleet.StoreAnswered(time.Now()) },
 		Log:      h.log,
 	})
