keyedlog: hosts that others read for retry rarely while the store is away; count the calls to the store

The calls are counted by name in the metrics, and a line host_state every ten seconds says what a host takes the deployment to be.

--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -22,13 +22,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/logservice"
-	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
 const (
-	// minBackoff and maxBackoff bound the delay between failed reads. The upper
-	// bound stays below the time in which a configuration must be in force.
+	// minBackoff and maxBackoff bound the delay between failed reads of a host that
+	// reads for others or for itself alone. The upper bound stays below the time in
+	// which a configuration must be in force.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
 	// readGrace is added to the wait of a read before it is given up.
@@ -162,8 +162,8 @@
 		}
 		if err != nil {
 			f.note(err)
-			sleep.For(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, maxBackoff)
+			f.pauseFailed(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, f.longestBackoff())
 			continue
 		}
 		backoff = minBackoff
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -22,7 +22,9 @@
 	changed chan struct{}
 	// silent reads get no answer.
 	silent bool
-	reads  int
+	// down reads fail at once.
+	down  bool
+	reads int
 	// pageRecords bounds the records of one read, transfer is the time that each
 	// takes.
 	pageRecords int
@@ -70,7 +72,7 @@
 func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (Page, error) {
 	l.mu.Lock()
 	l.reads++
-	silent := l.silent
+	silent, down := l.silent, l.down
 	l.mu.Unlock()
 	timeout := time.After(wait)
 	for {
@@ -78,6 +80,8 @@
 		end, first, changed := int64(len(l.records)), l.first, l.changed
 		l.mu.Unlock()
 		switch {
+		case down:
+			return Page{}, errors.New("the store is away")
 		case silent:
 			<-ctx.Done()
 			return Page{}, ctx.Err()
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -18,6 +18,11 @@
 	// awaitInterval bounds the wait for news, so that a host begins to read when
 	// it has to lead.
 	awaitInterval = 500 * time.Millisecond
+	// behindBackoff and restBackoff are the longest delays between failed reads of a
+	// host that others read for: one that was told of records which it lacks, and
+	// one that was not. Each call is priced, also while the store is away.
+	behindBackoff = time.Second
+	restBackoff   = 4 * time.Second
 	// maxOffers bounds the offered pages that wait; the follower reads what it
 	// misses.
 	maxOffers = 64
@@ -59,11 +64,12 @@
 	if next >= f.next.Load() {
 		f.coveredAt = now
 	}
-	if next > f.told {
+	more := next > f.told
+	if more {
 		f.told, f.toldAt = next, now
 	}
 	f.mu.Unlock()
-	if next > f.next.Load() {
+	if more && next > f.next.Load() {
 		select {
 		case f.news <- struct{}{}:
 		default:
@@ -110,6 +116,38 @@
 	return false
 }
 
+// longestBackoff bounds the delay between failed reads.
+func (f *Follower) longestBackoff() time.Duration {
+	if f.opts.Sharing == nil || f.opts.Sharing.Leads() {
+		return maxBackoff
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known || f.told > f.next.Load() {
+		return behindBackoff
+	}
+	return restBackoff
+}
+
+// pauseFailed waits after a failed read for d, or until another host tells of new
+// records.
+func (f *Follower) pauseFailed(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-f.news:
+			return
+		case o := <-f.offers:
+			f.take(o)
+		}
+	}
+}
+
 // take applies an offered page as far as it goes on from what was followed. A
 // page that begins later is not used: the next read closes the gap.
 func (f *Follower) take(o offer) {
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+// TestReadsInAnOutage replays an outage of the store before many hosts. It guards
+// against calls of all hosts that nobody answers, and against hosts that do not
+// find out at once that the store is back.
+func TestReadsInAnOutage(t *testing.T) {
+	l := newFakeLog()
+	l.put("a", "1")
+	g := startGroup(t, l, 30, 3)
+	eventually(t, "the first value", func() bool { return g.have("a", "1") })
+	before := l.readCount()
+	l.setDown(true)
+	time.Sleep(coverLimit + 3*time.Second)
+	l.setDown(false)
+	// Three leaders make about four reads a second each, the others begin to read
+	// after coverLimit and soon make one in three seconds.
+	if n := l.readCount() - before; n > 3*30+27*4 {
+		t.Errorf("%d reads of 30 hosts in an outage", n)
+	}
+	l.put("a", "2")
+	began := time.Now()
+	eventually(t, "the value after the outage", func() bool { return g.have("a", "2") })
+	if took := time.Since(began); took > 1500*time.Millisecond {
+		t.Errorf("read %v after the outage", took)
+	}
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
 // TestLeadersAreLost guards against hosts that wait for leaders which are gone,
 // also when nobody else has taken their place.
 func TestLeadersAreLost(t *testing.T) {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +34,10 @@
 	// idleLimit is how long connections to endpoints are kept.
 	idleLimit = 8 * time.Second
 	maxIdle   = 24
-	// housekeeping is the interval of work that nothing triggers.
-	housekeeping = 250 * time.Millisecond
+	// housekeeping is the interval of work that nothing triggers, stateInterval that
+	// of the lines on the state of the host.
+	housekeeping  = 250 * time.Millisecond
+	stateInterval = 10 * time.Second
 	// readBufferBytes bounds the head of a caller's request.
 	readBufferBytes = 16 << 10
 	// requestReadTime and callerIdleTime are the limits for callers. Callers reuse
@@ -58,6 +62,8 @@
 	// Stream keeps the streams of leases and usage.
 	Stream   logservice.Client
 	Platform Platform
+	// StoreCalls counts the calls to the store by name.
+	StoreCalls *expvar.Map
 }
 
 // Host is one entry host.
@@ -208,11 +214,16 @@
 func (h *Host) keepHouse(ctx context.Context) {
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
+	stateAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if now.Sub(stateAt) >= stateInterval {
+				stateAt = now
+				h.logState()
+			}
 			h.client.Sweep()
 			for _, id := range h.fleet.Expire(now) {
 				h.gone(id)
@@ -221,3 +232,11 @@
 		}
 	}
 }
+
+// logState writes what the host takes the deployment to be.
+func (h *Host) logState() {
+	fields := log.Fields{"ready": h.ready(), "leads": h.leads(), "hosts_heard": h.hosts(), "hosts_known": h.knownHosts(),
+		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight()}
+	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) { fields["store"+strings.ReplaceAll(kv.Key, "/", "_")] = kv.Value.String() })
+	h.log.WithFields(fields).Info("host_state")
+}
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -44,6 +44,9 @@
 	h.metrics.Requests.Do(func(kv expvar.KeyValue) {
 		line("requests_ended{outcome="+strconv.Quote(kv.Key)+"}", kv.Value)
 	})
+	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) {
+		line("store_calls{call="+strconv.Quote(kv.Key)+"}", kv.Value)
+	})
 	line("requests_late", h.metrics.Late.Value())
 	line("sends_repeated", h.metrics.Repeats.Value())
 	line("streams_resumed", h.metrics.Resumed.Value())
