--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -31,6 +31,8 @@
 	// which a configuration must be in force.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+	// maxDoublings is how often the delay doubles, at most.
+	maxDoublings = 8
 	// readGrace is added to the wait of a read before it is given up.
 	readGrace = 700 * time.Millisecond
 	// newestTimeout bounds the reading of all keys.
@@ -150,7 +152,7 @@
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	backoff := minBackoff
+	failures := 0
 	for ctx.Err() == nil {
 		if !f.await(ctx) {
 			continue
@@ -162,11 +164,13 @@
 		}
 		if err != nil {
 			f.note(err)
+			least, most := f.backoffBounds()
+			backoff := min(least<<min(failures, maxDoublings), most)
+			failures++
 			f.pauseFailed(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, f.longestBackoff())
 			continue
 		}
-		backoff = minBackoff
+		failures = 0
 		f.note(nil)
 		if f.opts.Pace != nil {
 			f.pause(ctx, f.opts.Pace()-time.Since(started))
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -18,11 +18,13 @@
 	// awaitInterval bounds the wait for news, so that a host begins to read when
 	// it has to lead.
 	awaitInterval = 500 * time.Millisecond
-	// behindBackoff and restBackoff are the longest delays between failed reads of a
-	// host that others read for: one that was told of records which it lacks, and
-	// one that was not. Each call is priced, also while the store is away.
-	behindBackoff = time.Second
-	restBackoff   = 4 * time.Second
+	// behindBackoff is the longest delay between failed reads of a host that others
+	// read for and that was told of records which it lacks; minRestBackoff and
+	// restBackoff bound the delay of one that was not. Each call is priced, also
+	// while the store is away.
+	behindBackoff  = time.Second
+	minRestBackoff = time.Second
+	restBackoff    = 4 * time.Second
 	// maxOffers bounds the offered pages that wait; the follower reads what it
 	// misses.
 	maxOffers = 64
@@ -116,17 +118,17 @@
 	return false
 }
 
-// longestBackoff bounds the delay between failed reads.
-func (f *Follower) longestBackoff() time.Duration {
+// backoffBounds returns the bounds of the delay between failed reads.
+func (f *Follower) backoffBounds() (least, most time.Duration) {
 	if f.opts.Sharing == nil || f.opts.Sharing.Leads() {
-		return maxBackoff
+		return minBackoff, maxBackoff
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.known || f.told > f.next.Load() {
-		return behindBackoff
+		return minBackoff, behindBackoff
 	}
-	return restBackoff
+	return minRestBackoff, restBackoff
 }
 
 // pauseFailed waits after a failed read for d, or until another host tells of new
