usage, lease, logservice: report windows sooner around outages of the store

A tail now reads at once when a record is known to be there, and again after 400 ms; - a renewal without an answer was repeated after its whole interval, now after half; - five candidates spread their claims over a second, now over 0.3 s; - a window's figures were fixed 3.5 s after its end, now after 2.5 s: counts are handed over twice a second; - a candidate that could not append counts kept those of others to itself; - a window was closed in the moment in which the store was back, before the hosts had appended what they kept (off by 372 of 379 requests).

Tests: TestSilentReadIsRefreshed, TestAppendedRecordIsReadAtOnce, TestHeldSoonAfterAnOutage, TestAcceptedFlushesAreHandedOn, TestCountsAfterAnOutageAreWaitedFor.

--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -442,3 +442,32 @@
 		}
 	}
 }
+
+// TestHeldSoonAfterAnOutage guards against a holder that gets its lease back so
+// late after an outage of the log that what was due meanwhile is missed.
+func TestHeldSoonAfterAnOutage(t *testing.T) {
+	const bound = 1200 * time.Millisecond
+	for _, seed := range faultlog.Seeds(seedEnv, 20) {
+		synctest.Test(t, func(t *testing.T) {
+			clock := clockwork.NewRealClock()
+			random := rand.New(rand.NewSource(seed))
+			f := faultlog.New(logservice.NewMemory(clock), clock, rand.New(rand.NewSource(seed)), faultlog.Rates{})
+			m := New(Options{Client: f, Clock: clock, Rand: random, Incarnation: "a.1", Host: "a", Address: "a:1", Keys: []Key{testKey},
+				HostAbsentFor: func(string) time.Duration { return 0 }, Duration: 3 * time.Second, Margin: 700 * time.Millisecond,
+				ClaimSpread: 300 * time.Millisecond, Reading: logservice.Reading{Pace: 400 * time.Millisecond, MaxBackoff: 400 * time.Millisecond}})
+			time.Sleep(10 * time.Second)
+			f.SetDown(true)
+			time.Sleep(8*time.Second + time.Duration(random.Int63n(int64(time.Second))))
+			f.SetDown(false)
+			began := time.Now()
+			for _, err := m.Check(testKey); err != nil && time.Since(began) < time.Minute; _, err = m.Check(testKey) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took := time.Since(began); took > bound {
+				t.Errorf("%s=%d: held %v after the outage", seedEnv, seed, took)
+			}
+			m.Close()
+			f.Close()
+		})
+	}
+}
--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -19,9 +19,9 @@
 	// challengeInterval is the time between two looks at a lease that another
 	// process holds.
 	challengeInterval = 500 * time.Millisecond
-	// claimSpread spreads the claims of many hosts, so that most of them see
+	// ClaimSpread spreads the claims of many hosts, so that most of them see
 	// the first one before they append their own.
-	claimSpread = time.Second
+	ClaimSpread = time.Second
 	// maxPending bounds the remembered own records that were not folded.
 	maxPending = 64
 	// startDelay bounds the wait of a new process for a first read to the end.
@@ -44,7 +44,11 @@
 	switch action := m.next(k); action {
 	case kindRenew:
 		startedAt := m.opts.Clock.Now()
-		m.append(ctx, k, kindRenew, interval)
+		// One that failed is repeated after half the interval: a lost answer must not
+		// cost a whole one.
+		if !m.append(ctx, k, kindRenew, interval/2) {
+			interval /= 2
+		}
 		return max(0, interval-m.opts.Clock.Since(startedAt))
 	case kindClaim:
 		m.pauseFor(ctx, m.spread())
@@ -60,7 +64,7 @@
 func (m *Manager) spread() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Duration(m.rand.Int63n(int64(claimSpread)))
+	return time.Duration(m.rand.Int63n(int64(m.opts.ClaimSpread)))
 }
 
 // pauseFor waits for d or until ctx ends; it returns at once if d is not positive.
@@ -115,15 +119,16 @@
 	return !l.held || l.over || now.Sub(l.seenAt) >= whole
 }
 
-// append writes a record and waits until it is folded, at most for limit.
-func (m *Manager) append(ctx context.Context, k Key, kind string, limit time.Duration) {
+// append writes a record and waits until it is folded, at most for limit. It
+// reports whether the record was folded.
+func (m *Manager) append(ctx context.Context, k Key, kind string, limit time.Duration) bool {
 	e, err := m.newRecord(k, kind)
 	if errors.Is(err, errOutdated) {
-		return
+		return false
 	}
 	if err != nil {
 		m.opts.Log.WithFields(log.Fields{"key": k.String(), "kind": kind, "error": err}).Error("lease_record_not_encoded")
-		return
+		return false
 	}
 	m.pause(kind)
 	appendCtx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, limit)
@@ -135,6 +140,7 @@
 	if err != nil && ctx.Err() == nil {
 		m.opts.Log.WithFields(log.Fields{"key": k.String(), "kind": kind, "record": e.ID, "error": err}).Warn("lease_record_not_folded")
 	}
+	return err == nil
 }
 
 // newRecord states the lease as this process has folded it and notes the time
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -51,8 +51,10 @@
 	Duration      time.Duration
 	Margin        time.Duration
 	HostListLag   time.Duration
-	// PollWait and Pace are those of the stream's reader; zero takes its defaults.
-	PollWait, Pace time.Duration
+	// ClaimSpread replaces the constant of this name if it is not zero.
+	ClaimSpread time.Duration
+	// Reading is that of the stream's reader.
+	Reading logservice.Reading
 	// Log receives log lines; they are dropped if it is nil.
 	Log log.Interface
 }
@@ -123,6 +125,7 @@
 	opts.Duration = cmp.Or(opts.Duration, DefaultDuration)
 	opts.Margin = cmp.Or(opts.Margin, DefaultMargin)
 	opts.HostListLag = cmp.Or(opts.HostListLag, DefaultHostListLag)
+	opts.ClaimSpread = cmp.Or(opts.ClaimSpread, ClaimSpread)
 	if opts.Log == nil {
 		opts.Log = logging.Discard()
 	}
@@ -138,7 +141,7 @@
 	m.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamLease, Clock: opts.Clock,
 		Rand: rand.New(rand.NewSource(opts.Rand.Int63())),
-		Fold: m.foldRecord, Truncated: m.truncated, PollWait: opts.PollWait, Pace: opts.Pace, Log: opts.Log,
+		Fold: m.foldRecord, Truncated: m.truncated, Reading: opts.Reading, Log: opts.Log,
 	})
 	m.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamLease, Clock: opts.Clock,
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -43,9 +43,6 @@
 	// was not heard for aliveFor does not count as a host.
 	heartbeat = time.Second
 	aliveFor  = 3500 * time.Millisecond
-	// handPeers is the number of hosts that get counts: one of them may be cut off
-	// from the store.
-	handPeers = 2
 	// maxDatagramBytes keeps a datagram inside one packet.
 	maxDatagramBytes = 1300
 	// sendBytes is the usual size of one report, for cutting datagrams.
@@ -266,10 +263,10 @@
 	return addresses
 }
 
-// Hand passes counts to up to handPeers of the named hosts. It fails if none of
-// them was heard lately.
-func (s *Share) Hand(hosts []string, flushes []usage.Flush) error {
-	addresses := s.alive(hosts, handPeers)
+// Hand passes counts to the first n of the named hosts that were heard lately. It
+// fails if there are none.
+func (s *Share) Hand(hosts []string, n int, flushes []usage.Flush) error {
+	addresses := s.alive(hosts, n)
 	if len(addresses) == 0 {
 		return errors.New("no host that takes counts was heard lately")
 	}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -94,7 +94,7 @@
 	sent := placement.Sent{EngineID: "e1", Role: endpoint.RoleDecode, WorkMicros: 1500, Parts: []placement.Part{{ID: 1 << 63, Tokens: 600}, {ID: 2, Tokens: 300}}}
 	a.share.Report("llm", sent)
 	a.share.Block("llm", "e2", 3*time.Second)
-	if err := a.share.Hand([]string{"b"}, []usage.Flush{{Incarnation: "a/1", Window: 5, Sequence: 2, Teams: map[string]usage.Counts{"acme": {Requests: 3}}}}); err != nil {
+	if err := a.share.Hand([]string{"b"}, 2, []usage.Flush{{Incarnation: "a/1", Window: 5, Sequence: 2, Teams: map[string]usage.Counts{"acme": {Requests: 3}}}}); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "all reports", func() bool {
@@ -150,7 +150,7 @@
 	if n := a.share.Hosts(); n != 1 {
 		t.Errorf("%d hosts after one fell silent", n)
 	}
-	if err := a.share.Hand([]string{"b"}, nil); err == nil {
+	if err := a.share.Hand([]string{"b"}, 2, nil); err == nil {
 		t.Error("counts were handed to a silent host")
 	}
 }
--- a/pkg/logservice/batcher.go
+++ b/pkg/logservice/batcher.go
@@ -142,6 +142,8 @@
 			if found == nil || !errors.Is(r.err, ErrOutcomeUnknown) {
 				return 0, r.err
 			}
+			// If it is in the stream, a read that is alive shows it.
+			b.opts.Tail.Refresh()
 			unknown, results = r.err, nil
 		case <-ctx.Done():
 			if b.withdraw(q) {
--- a/pkg/logservice/tail.go
+++ b/pkg/logservice/tail.go
@@ -27,6 +27,13 @@
 	// bound stays below the time after which an unconfirmed view stops serving.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// outageGrace is added to the longest time between two answers of an idle stream;
+	// a longer one counts as an outage.
+	outageGrace = time.Second
+	// hintGrace is how long a read in progress may take to show a record that is
+	// known to be in the stream. One that takes longer has gone silent, or was sent
+	// while the log was away.
+	hintGrace = 400 * time.Millisecond
 )
 
 // ErrClosed reports a wait that ended because its owner was closed.
@@ -51,13 +58,20 @@
 	// Truncated, if set, is told that the offsets from missing up to, not
 	// including, oldest are gone. The next record folded is at oldest or later.
 	Truncated func(missing, oldest int64)
+	Reading
+	// Log receives log lines; they are dropped if it is nil.
+	Log log.Interface
+}
+
+// Reading is how often a tail reads.
+type Reading struct {
 	// PollWait is DefaultPollWait if zero.
 	PollWait time.Duration
 	// Pace is the least time between two reads. It bounds the calls on a stream
 	// that many hosts append to; zero reads at once.
 	Pace time.Duration
-	// Log receives log lines; they are dropped if it is nil.
-	Log log.Interface
+	// MaxBackoff bounds the delay between failed reads; two seconds if zero.
+	MaxBackoff time.Duration
 }
 
 // TailStatus describes how far a tail has read.
@@ -71,6 +85,9 @@
 	Truncations int
 	// Failures counts failed reads since the last successful one.
 	Failures int
+	// LostAt is when the last read before the last outage was answered, ReturnedAt
+	// when the first one after it was; zero if there was none.
+	LostAt, ReturnedAt time.Time
 }
 
 // Tail follows one stream in offset order without gap and without repeat. Its
@@ -85,6 +102,16 @@
 	status   TailStatus
 	advanced chan struct{}
 	watches  map[string][]*Watch
+	// cancelRead ends the read in progress, which began at readAt; nil if there is
+	// none. interrupted says that it was ended so.
+	cancelRead  context.CancelFunc
+	readAt      time.Time
+	interrupted bool
+	// answeredAt is when the last read was answered.
+	answeredAt time.Time
+
+	// hurry ends a pause between reads.
+	hurry chan struct{}
 }
 
 // Watch waits for a record with a certain id.
@@ -99,11 +126,15 @@
 	if opts.PollWait == 0 {
 		opts.PollWait = DefaultPollWait
 	}
+	if opts.MaxBackoff == 0 {
+		opts.MaxBackoff = maxBackoff
+	}
 	if opts.Log == nil {
 		opts.Log = logging.Discard()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tail{
+		hurry:    make(chan struct{}, 1),
 		opts:     opts,
 		cancel:   cancel,
 		done:     make(chan struct{}),
@@ -129,9 +160,36 @@
 }
 
 // WaitFor waits until the record at offset has been folded or is past the
-// retention. It fails with the context's error or ErrClosed.
+// retention. The record is known to be in the stream, so the tail reads at once,
+// and again if that read does not show it. It fails with the context's error or
+// ErrClosed.
 func (t *Tail) WaitFor(ctx context.Context, offset int64) error {
-	return t.wait(ctx, func(s TailStatus) bool { return s.Next > offset })
+	select {
+	case t.hurry <- struct{}{}:
+	default:
+	}
+	for grace := hintGrace; ; grace *= 2 {
+		graceCtx, cancel := clockwork.WithTimeout(ctx, t.opts.Clock, grace)
+		err := t.wait(graceCtx, func(s TailStatus) bool { return s.Next > offset })
+		cancel()
+		if err == nil || errors.Is(err, ErrClosed) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		t.Refresh()
+	}
+}
+
+// Refresh begins the read in progress again if it is older than hintGrace.
+func (t *Tail) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cancelRead != nil && t.opts.Clock.Since(t.readAt) >= hintGrace {
+		t.cancelRead()
+		t.cancelRead, t.interrupted = nil, true
+	}
 }
 
 // WaitReadToEnd waits until a read that was sent at or after since has reached
@@ -197,10 +255,13 @@
 	for ctx.Err() == nil {
 		startedAt := t.opts.Clock.Now()
 		err := t.readOnce(ctx)
+		if err != nil && t.wasInterrupted() {
+			continue
+		}
 		if err == nil {
 			backoff = minBackoff
 			if rest := t.opts.Pace - t.opts.Clock.Since(startedAt); rest > 0 {
-				t.pause(ctx, rest)
+				t.pause(ctx, rest, t.hurry)
 			}
 			continue
 		}
@@ -208,14 +269,16 @@
 			return
 		}
 		t.noteFailure(err)
-		t.pause(ctx, backoff/2+time.Duration(t.opts.Rand.Int63n(int64(backoff))))
-		backoff = min(2*backoff, maxBackoff)
+		t.pause(ctx, backoff/2+time.Duration(t.opts.Rand.Int63n(int64(backoff))), nil)
+		backoff = min(2*backoff, t.opts.MaxBackoff)
 	}
 }
 
-func (t *Tail) pause(ctx context.Context, d time.Duration) {
+// pause waits for d, or until hurry or ctx ends it.
+func (t *Tail) pause(ctx context.Context, d time.Duration, hurry <-chan struct{}) {
 	select {
 	case <-ctx.Done():
+	case <-hurry:
 	case <-t.opts.Clock.After(d):
 	}
 }
@@ -243,6 +306,7 @@
 	sentAt := t.opts.Clock.Now()
 	readCtx, cancel := clockwork.WithTimeout(ctx, t.opts.Clock, t.opts.PollWait+pollGrace)
 	defer cancel()
+	t.beginRead(cancel, sentAt)
 	page, err := t.opts.Client.Read(readCtx, t.opts.Stream, next, pageLimit, wait)
 	var truncated *TruncatedError
 	if errors.As(err, &truncated) && truncated.Oldest > next {
@@ -255,6 +319,19 @@
 	return t.foldPage(page, next, sentAt)
 }
 
+func (t *Tail) beginRead(cancel context.CancelFunc, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cancelRead, t.readAt, t.interrupted = cancel, at, false
+}
+
+// wasInterrupted reports whether Refresh ended the last read.
+func (t *Tail) wasInterrupted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.interrupted
+}
+
 func (t *Tail) skipTo(oldest int64) {
 	t.mu.Lock()
 	missing := t.status.Next
@@ -285,6 +362,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.cancelRead = nil
+	now := t.opts.Clock.Now()
+	if !t.answeredAt.IsZero() && now.Sub(t.answeredAt) > t.opts.PollWait+t.opts.Pace+outageGrace {
+		t.status.LostAt, t.status.ReturnedAt = t.answeredAt, now
+	}
+	t.answeredAt = now
 	t.status.Failures = 0
 	if next >= page.End {
 		t.status.ReadToEndAt = sentAt
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -35,20 +35,31 @@
 	// maxCandidates is the number of hosts that stand for the duties: several may
 	// be killed or cut off at once.
 	maxCandidates = 5
+	// handPeers is the number of candidates that get counts: one of them may be cut
+	// off from the store.
+	handPeers = 2
 	// hearingTime is the wait of a new process before it stands, reviewInterval
 	// the time between two looks at who does.
 	hearingTime    = 700 * time.Millisecond
 	reviewInterval = time.Second
-	// leasePoll and leasePace bound the reads of the lease stream.
-	leasePoll = 2 * time.Second
-	leasePace = 400 * time.Millisecond
-	// usageFlush is how often counts are written: what a killed host loses of a
-	// window must stay below the tolerated error of a report.
-	usageFlush = time.Second
-	// usageGrace is the time from the end of a window until its figures are
-	// fixed. A host that is cut off from the store notices it within three
-	// seconds and then hands its counts to others.
-	usageGrace = 3500 * time.Millisecond
+	// claimSpread spreads the claims of maxCandidates hosts.
+	claimSpread = 300 * time.Millisecond
+	// streamPoll is how long a read of the streams waits for a record, leasePace the
+	// least time between two reads of the lease, streamBackoff the longest delay
+	// after failed ones: a report that is due soon after an outage needs both
+	// streams.
+	streamPoll    = 2 * time.Second
+	leasePace     = 400 * time.Millisecond
+	streamBackoff = 400 * time.Millisecond
+	// handInterval is how often counts are handed to the candidates, usageFlush how
+	// often these write them: what a killed host loses of a window must stay below
+	// the tolerated error of a report.
+	handInterval = 500 * time.Millisecond
+	usageFlush   = time.Second
+	// usageGrace is the time from the end of a window until its figures are fixed:
+	// handInterval, usageFlush, and a second for slow hosts and a slow store. The
+	// rest of the time until a report is due is left for outages.
+	usageGrace = 2500 * time.Millisecond
 	// usagePace bounds the reads of a stream that all hosts append to.
 	usagePace = time.Second
 	// usageQuiet is the time without a record after which a host that does not
@@ -141,11 +152,25 @@
 		roles: roles.DefaultSplitMix(), capacity: capacity.DefaultFillCheap(), changes: map[string]change{}, placed: map[place]capacity.Placed{}, baseline: map[place]int{}}
 	d.counter = usage.NewCounter(usage.CounterOptions{
 		Client: stream, Clock: d.clock, Incarnation: h.settings.Host + "/" + uuid.NewString(), LiveHosts: h.hosts, Peers: d,
-		Window: h.settings.UsageWindow, FlushInterval: usageFlush, Log: h.log,
+		Window: h.settings.UsageWindow, FlushInterval: handInterval, Log: h.log,
 	})
 	return d
 }
 
+// reading is how often a candidate reads a stream.
+func reading(pace time.Duration) logservice.Reading {
+	return logservice.Reading{PollWait: streamPoll, Pace: pace, MaxBackoff: streamBackoff}
+}
+
+// otherCandidates takes the flushes that a candidate cannot append.
+type otherCandidates struct{ duties *duties }
+
+// Hand implements usage.Peers. All candidates get the flushes, because the store
+// may turn several of them away.
+func (o otherCandidates) Hand(_ context.Context, flushes []usage.Flush) error {
+	return o.duties.host.share.Hand(o.duties.candidates(), maxCandidates, flushes)
+}
+
 // stand makes this host a candidate.
 func (d *duties) stand() *candidacy {
 	h := d.host
@@ -156,13 +181,14 @@
 		Client: d.stream, Clock: d.clock, Rand: rand.New(rand.NewSource(random.Int63())),
 		Incarnation: incarnation, Host: h.settings.Host, Address: h.settings.CallersAddr, Keys: []lease.Key{d.key},
 		LiveHosts: h.hosts, HostAbsentFor: func(string) time.Duration { return 0 },
-		Duration: h.settings.LeaseTime, Margin: leaseMargin, PollWait: leasePoll, Pace: leasePace, Log: h.log,
+		Duration: h.settings.LeaseTime, Margin: leaseMargin, ClaimSpread: claimSpread, Reading: reading(leasePace), Log: h.log,
 	})
 	c.usage = usage.New(usage.Options{
 		Client: d.stream, Clock: d.clock, Rand: random, Incarnation: incarnation, LiveHosts: h.hosts,
 		Key: d.key, Leases: c.leases, Sender: orders.NewSender(orders.Options{Clock: d.clock, Leases: c.leases, Incarnation: incarnation, Log: h.log}),
 		Windows: d.platform, Log: h.log, Window: h.settings.UsageWindow,
-		Grace: usageGrace, FlushInterval: usageFlush, QuietTime: usageQuiet, PollWait: leasePoll, Pace: usagePace,
+		Grace: usageGrace, FlushInterval: usageFlush, QuietTime: usageQuiet, Reading: reading(usagePace),
+		Peers: otherCandidates{d}, HandAccepted: true,
 	})
 	h.log.Info("candidacy_begun")
 	return c
@@ -219,12 +245,12 @@
 		c.usage.Accept(flushes)
 		// The other candidates are a second way to the store; this host appends
 		// the counts itself if it reaches none of them.
-		if err := d.host.share.Hand(candidates, flushes); err != nil && len(candidates) > 1 {
+		if err := d.host.share.Hand(candidates, handPeers, flushes); err != nil && len(candidates) > 1 {
 			d.host.log.WithError(err).Warn("counts_not_handed")
 		}
 		return nil
 	}
-	return d.host.share.Hand(candidates, flushes)
+	return d.host.share.Hand(candidates, handPeers, flushes)
 }
 
 // accept takes counts of other hosts, if this one is a candidate.
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -54,8 +54,7 @@
 	peers       Peers
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
-
-	mu sync.Mutex
+	mu          sync.Mutex
 	// The fields below are guarded by mu.
 	windows  map[int64]*window
 	accepted map[source]Flush
@@ -64,6 +63,8 @@
 	newest int64
 	// peersFirst hands all flushes to peers and appends them only if that fails.
 	peersFirst bool
+	// handAccepted hands accepted flushes that cannot be appended to other peers.
+	handAccepted bool
 }
 
 func newCounter(clock clockwork.Clock, length windowLength, interval time.Duration, incarnation string, b *logservice.Batcher, peers Peers, logger log.Interface) *Counter {
@@ -182,13 +183,14 @@
 	wg.Wait()
 	var failed []Flush
 	var first error
+	handAccepted := c.handsAccepted()
 	for i, err := range errs {
 		switch {
 		case err == nil:
 			c.flushed(flushes[i])
 		default:
 			first = err
-			if flushes[i].Incarnation == c.incarnation {
+			if flushes[i].Incarnation == c.incarnation || handAccepted {
 				failed = append(failed, flushes[i])
 			}
 		}
@@ -201,6 +203,18 @@
 	return first
 }
 
+func (c *Counter) handsAccepted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handAccepted
+}
+
+func (c *Counter) setHandAccepted(hand bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handAccepted = hand
+}
+
 func (c *Counter) handsFirst() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -19,8 +19,13 @@
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
-// reportInterval is the time between two looks at what is due.
-const reportInterval = time.Second
+// reportInterval is the time between two looks at what is due. It is part of the
+// time from the end of a window to its report.
+const reportInterval = 500 * time.Millisecond
+
+// flushRounds times the flush interval is the time in which a host appends its
+// counts. More would delay reports that are due soon after an outage.
+const flushRounds = 1
 
 // Conn is one connection to the usage interface that carries one report.
 type Conn interface {
@@ -57,6 +62,9 @@
 	Sender    *orders.Sender
 	Interface Interface
 	Peers     Peers
+	// HandAccepted hands flushes that were accepted from peers on to other peers as
+	// well if they cannot be appended here.
+	HandAccepted bool
 	// Log receives log lines; they are dropped if it is nil.
 	Log log.Interface
 	// Window is the length of a window, the same on all hosts; DefaultWindow if
@@ -68,8 +76,8 @@
 	// Grace, FlushInterval and QuietTime replace the constants of these names if
 	// they are not zero; they are the same on all hosts.
 	Grace, FlushInterval, QuietTime time.Duration
-	// PollWait and Pace are those of the stream's reader; zero takes its defaults.
-	PollWait, Pace time.Duration
+	// Reading is that of the stream's reader.
+	Reading logservice.Reading
 }
 
 // guards disable single mechanisms, for tests that show that they are needed.
@@ -117,12 +125,13 @@
 	r.fold.grace, r.fold.quietTime = opts.Grace, opts.QuietTime
 	r.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Rand: opts.Rand,
-		Fold: r.foldRecord, Truncated: r.truncated, PollWait: opts.PollWait, Pace: opts.Pace, Log: opts.Log,
+		Fold: r.foldRecord, Truncated: r.truncated, Reading: opts.Reading, Log: opts.Log,
 	})
 	r.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Tail: r.tail, LiveHosts: opts.LiveHosts,
 	})
 	r.Counter = newCounter(opts.Clock, length, opts.FlushInterval, opts.Incarnation, r.batcher, opts.Peers, opts.Log)
+	r.setHandAccepted(opts.HandAccepted)
 	r.wg.Go(func() { r.run(ctx) })
 	return r
 }
@@ -169,8 +178,7 @@
 // window's grace period passed.
 func (r *Reporter) closeDue(ctx context.Context) {
 	now := r.opts.Clock.Now()
-	readAt := r.tail.Status().ReadToEndAt
-	e, rec, ok := r.closeEntry(now, readAt)
+	e, rec, ok := r.closeEntry(now, r.tail.Status())
 	if !ok {
 		return
 	}
@@ -186,11 +194,11 @@
 	}
 }
 
-func (r *Reporter) closeEntry(now, readAt time.Time) (logservice.Entry, closeRecord, bool) {
+func (r *Reporter) closeEntry(now time.Time, read logservice.TailStatus) (logservice.Entry, closeRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	window, ok := r.fold.due(now)
-	if !ok || readAt.Before(r.length.end(window).Add(r.opts.Grace)) {
+	if !ok || read.ReadToEndAt.Before(r.length.end(window).Add(r.opts.Grace)) || r.countsKept(window, now, read) {
 		return logservice.Entry{}, closeRecord{}, false
 	}
 	r.lastID++
@@ -205,6 +213,13 @@
 	return e, rec, err == nil
 }
 
+// countsKept reports whether hosts may still keep counts of the window that they
+// could not append in the last outage.
+func (r *Reporter) countsKept(window int64, now time.Time, read logservice.TailStatus) bool {
+	appended := flushRounds * r.opts.FlushInterval
+	return !r.length.end(window).Add(appended).Before(read.LostAt) && now.Sub(read.ReturnedAt) < appended
+}
+
 // sendDue sends the reports of closed windows that no record marks as reported.
 func (r *Reporter) sendDue(ctx context.Context) {
 	for _, window := range r.unsent() {
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -270,6 +270,55 @@
 	})
 }
 
+// TestAcceptedFlushesAreHandedOn guards against counts that stay with the host
+// that took them over, while the log turns just that host away.
+func TestAcceptedFlushesAreHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		log := faultlog.New(logservice.NewMemory(clock), clock, rand.New(rand.NewSource(1)), faultlog.Rates{})
+		log.SetDown(true)
+		b := logservice.NewBatcher(logservice.BatcherOptions{Client: log, Stream: logservice.StreamUsage, Clock: clock, LiveHosts: func() int { return 2 }})
+		peers := &takingPeers{}
+		c := newCounter(clock, windowLength(DefaultWindow), FlushInterval, "b", b, peers, logging.Discard())
+		c.setHandAccepted(true)
+		c.Accept([]Flush{{Incarnation: "a", Window: 1, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 3}}}})
+		time.Sleep(2*FlushInterval + appendTimeout)
+		c.close()
+		b.Close()
+		peers.mu.Lock()
+		defer peers.mu.Unlock()
+		if len(peers.taken) == 0 || peers.taken[0].Incarnation != "a" || peers.taken[0].Teams["t"].Requests != 3 {
+			t.Errorf("handed on %+v", peers.taken)
+		}
+	})
+}
+
+// TestCountsAfterAnOutageAreWaitedFor guards against a window that is closed in
+// the moment in which the log is back, before the hosts have appended the counts
+// that they kept.
+func TestCountsAfterAnOutageAreWaitedFor(t *testing.T) {
+	end := time.Unix(1_700_000_040, 0) // a multiple of the window
+	window := windowLength(DefaultWindow).of(end) - 1
+	now := end.Add(Grace + time.Minute)
+	for name, c := range map[string]struct {
+		lost, returned time.Time
+		closes         bool
+	}{
+		"no outage":                 {closes: true},
+		"back a moment ago":         {lost: end.Add(-time.Second), returned: now.Add(-FlushInterval / 2)},
+		"back for a while":          {lost: end.Add(-time.Second), returned: now.Add(-flushRounds * FlushInterval), closes: true},
+		"appended before":           {lost: end.Add(Grace), returned: now.Add(-time.Second), closes: true},
+		"lost while it is appended": {lost: end.Add(FlushInterval / 2), returned: now.Add(-time.Second)},
+	} {
+		r := &Reporter{opts: Options{Grace: Grace, FlushInterval: FlushInterval}, Counter: &Counter{length: windowLength(DefaultWindow)}, fold: newFold(end, windowLength(DefaultWindow), guards{})}
+		r.fold.foldFlush(0, Flush{Incarnation: "a", Window: window, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 1}}})
+		_, rec, ok := r.closeEntry(now, logservice.TailStatus{ReadToEndAt: now, LostAt: c.lost, ReturnedAt: c.returned})
+		if ok != c.closes || ok && rec.Window != window {
+			t.Errorf("%s: closes %v with %+v", name, ok, rec)
+		}
+	}
+}
+
 // TestSteadyCost prints appends a second as hosts grow and heap bytes per
 // source, and guards against flushes of hosts without new counts.
 func TestSteadyCost(t *testing.T) {
