--- a/test/e2e/process.go
+++ b/test/e2e/process.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"github.com/clementineshed/clementineshed/pkg/freeport"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/freeport"
 )
 
 // programs are the built binaries of one test run.
@@ -33,7 +34,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/clementineshed", "../../cmd/standin")
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...")
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, output)
 		return 1
@@ -62,7 +63,7 @@
 	exited chan struct{}
 }
 
-// StartProcess runs a built program ("clementineshed" or "standin").
+// StartProcess runs a built program of cmd.
 func StartProcess(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
 	p := &Process{Name: name, cmd: exec.Command(built.path(program), args...), exited: make(chan struct{})}
