keyedlog: hosts are covered by answers of the store; placement: no fit from prompts of one size

A host now counts from the answer, not from the word, and reads after 1.6 s. TestStaleWordsDoNotCover.

TestEqualPromptsAreServed fails on the code before. A refusal's line now says which engine was chosen and what was expected.

--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -103,8 +103,8 @@
 
 	mu sync.Mutex
 	// told is the furthest offset that another host has told, toldAt since when;
-	// coveredAt is when one last told that is not behind this host; answeredAt is
-	// when the store last answered a read. All are guarded by mu.
+	// coveredAt is when the store last answered one that is not behind this host,
+	// answeredAt when it last answered this host. All are guarded by mu.
 	told                          int64
 	toldAt, coveredAt, answeredAt time.Time
 	// cancel ends the read in progress; nil if there is none. It is guarded by mu.
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// coverLimit is how long a host goes without its own reads after it was last
-	// told by one whose reads are answered. Such hosts tell each second, and one
-	// datagram of three may be lost.
-	coverLimit = 2500 * time.Millisecond
 	// offerGrace is how long after the news that records exist the records
 	// themselves may take from another host: they are sent first.
 	offerGrace = 120 * time.Millisecond
@@ -37,6 +33,10 @@
 type Sharing struct {
 	// Leads reports whether this host reads for others.
 	Leads func() bool
+	// Cover is how long a host goes without its own reads after the store has last
+	// answered a host that tells it so. It must be shorter than the time in which a
+	// change has to be known: a host that is cut off from the others finds out by it.
+	Cover time.Duration
 	// Publish receives each page with records that this host has read, and the
 	// offset from which. Nil if the others are to read the records themselves.
 	Publish func(from int64, page Page)
@@ -57,14 +57,14 @@
 	}
 }
 
-// Told is told that another host, whose reads are answered, has followed the
-// topic up to an offset. A read in progress that has not shown the same for a
-// while is begun again.
-func (f *Follower) Told(next int64) {
+// Told is told that another host has followed the topic up to an offset, and when
+// the store answered it. A read in progress that has not shown the same for a while
+// is begun again.
+func (f *Follower) Told(next int64, answeredAt time.Time) {
 	f.mu.Lock()
 	now := time.Now()
-	if next >= f.next.Load() {
-		f.coveredAt = now
+	if next >= f.next.Load() && answeredAt.After(f.coveredAt) {
+		f.coveredAt = answeredAt
 	}
 	more := next > f.told
 	if more {
@@ -88,7 +88,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wait := min(awaitInterval, f.coveredAt.Add(coverLimit).Sub(now))
+	covered := f.coveredAt
+	if f.answeredAt.After(covered) {
+		covered = f.answeredAt
+	}
+	wait := min(awaitInterval, covered.Add(f.opts.Sharing.Cover).Sub(now))
 	if f.told > f.next.Load() {
 		grace := offerGrace
 		if f.opts.Sharing.Publish == nil {
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -22,6 +22,9 @@
 	nobody bool
 }
 
+// testCover is the time without own reads after an answer to another host.
+const testCover = 1500 * time.Millisecond
+
 // startGroup starts hosts of which the first leaders that are alive lead.
 func startGroup(t *testing.T, l *fakeLog, hosts, leaders int) *group {
 	t.Helper()
@@ -32,6 +35,7 @@
 		f := NewFollower(Options{Client: l, Topic: "t", Wait: func() time.Duration { return 300 * time.Millisecond },
 			Pace: func() time.Duration { return 10 * time.Millisecond }, Apply: s.apply, Reset: s.reset, Log: logging.Discard(),
 			Sharing: &Sharing{
+				Cover:   testCover,
 				Leads:   func() bool { return g.leads(i, leaders) },
 				Publish: func(from int64, page Page) { g.publish(i, from, page) },
 			}})
@@ -78,7 +82,7 @@
 		next, at := g.followers[self].Answered()
 		for i, f := range g.followers {
 			if i != self && g.alive[self] && time.Since(at) < 400*time.Millisecond {
-				f.Told(next)
+				f.Told(next, at)
 			}
 		}
 		g.mu.Unlock()
@@ -150,10 +154,10 @@
 	eventually(t, "the first value", func() bool { return g.have("a", "1") })
 	before := l.readCount()
 	l.setDown(true)
-	time.Sleep(coverLimit + 3*time.Second)
+	time.Sleep(testCover + 4*time.Second)
 	l.setDown(false)
 	// Three leaders make about four reads a second each, the others begin to read
-	// after coverLimit and soon make one in three seconds.
+	// after testCover and soon make one in three seconds.
 	if n := l.readCount() - before; n > 3*30+27*4 {
 		t.Errorf("%d reads of 30 hosts in an outage", n)
 	}
@@ -189,7 +193,7 @@
 			l.put("a", "2")
 			began := time.Now()
 			eventually(t, "the value after the loss", func() bool { return g.have("a", "2") })
-			if took := time.Since(began); took > coverLimit+time.Second {
+			if took := time.Since(began); took > testCover+time.Second {
 				t.Errorf("read after %v", took)
 			}
 		})
@@ -212,3 +216,21 @@
 		t.Errorf("applied %v, next %d", applied, f.next.Load())
 	}
 }
+
+// TestStaleWordsDoNotCover guards against hosts that keep each other from reading
+// with answers that the store gave long ago.
+func TestStaleWordsDoNotCover(t *testing.T) {
+	f := NewFollower(Options{Sharing: &Sharing{Leads: func() bool { return false }, Cover: testCover}})
+	f.known = true
+	now := time.Now()
+	f.Told(0, now.Add(-testCover/2))
+	if f.mustWait(now) == 0 {
+		t.Error("a host reads though another one has just been answered")
+	}
+	for elapsed := time.Duration(0); elapsed < testCover; elapsed += testCover / 10 {
+		f.Told(0, now.Add(-testCover/2))
+	}
+	if f.mustWait(now.Add(testCover)) > 0 {
+		t.Error("a host waits though nobody was answered for long")
+	}
+}
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"gonum.org/v1/gonum/stat"
@@ -82,7 +83,8 @@
 
 func (s *speed) fit() {
 	latency, perToken := stat.LinearRegression(s.sizes, s.times, nil, false)
-	if perToken <= 0 {
+	if !(perToken > 0) || math.IsInf(perToken, 0) {
+		// Prompts of one size have no slope; the fit is not a number.
 		return
 	}
 	s.tokens = min(max(1/perToken, leastSpeed), mostSpeed)
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -98,7 +98,7 @@
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
 	}
-	g.x.trace["wait_ms"] = c.Wait.Milliseconds()
+	g.x.trace["chosen"], g.x.trace["wait_ms"], g.x.trace["expected_ms"] = c.Engine.ID, c.Wait.Milliseconds(), c.Expected().Milliseconds()
 	over := c.Expected() + firstEventTime - min(g.x.left(), g.patience()-g.x.waited())
 	if over <= 0 {
 		return nil
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -19,7 +19,7 @@
 	// and waitPerHost is its growth with the hosts. A store that has gone silent
 	// looks like one without records, so a leader's reads are short; a host that
 	// reads because no leader is heard is one of many.
-	leastWait   = 1200 * time.Millisecond
+	leastWait   = 700 * time.Millisecond
 	mostWait    = 8 * time.Second
 	waitPerHost = 130 * time.Millisecond
 	// endpointsPace is the least time between two reads of the announcements: many
@@ -29,9 +29,15 @@
 	// maxLeaders is the number of hosts that read the store for all: two of them
 	// may be lost at once.
 	maxLeaders = 3
-	// freshTime is how long after an answer of the store a host tells others how
-	// far it has read. A leader's reads are answered within leastWait.
-	freshTime = 2 * time.Second
+	// coverTime is how long a host goes without own reads of the configuration and
+	// the announcements after the last answer of the store that it is told of. A
+	// change must be known within two seconds or more, also to a host that is cut
+	// off from the others. A leader's reads are answered within leastWait.
+	coverTime = 1600 * time.Millisecond
+	// peersCover and peersWait are the same for the addresses of the hosts, which
+	// nothing depends on for seconds.
+	peersCover = 6 * time.Second
+	peersWait  = 2500 * time.Millisecond
 )
 
 // leads reports whether this host reads the store for the others.
@@ -41,8 +47,8 @@
 }
 
 // sharing has the leaders read a topic and publish what they read.
-func (h *Host) sharing(topic string) *keyedlog.Sharing {
-	return &keyedlog.Sharing{Leads: h.leads, Publish: func(from int64, page keyedlog.Page) { h.share.Publish(topic, from, page) }}
+func (h *Host) sharing(topic string, cover time.Duration) *keyedlog.Sharing {
+	return &keyedlog.Sharing{Leads: h.leads, Cover: cover, Publish: func(from int64, page keyedlog.Page) { h.share.Publish(topic, from, page) }}
 }
 
 // storeWait is how long a read of the store waits for a record.
@@ -69,7 +75,7 @@
 	now := time.Now()
 	out := map[string]loadshare.Progress{}
 	for topic, f := range h.followers() {
-		if next, at := f.Answered(); now.Sub(at) <= freshTime {
+		if next, at := f.Answered(); now.Sub(at) <= peersCover {
 			out[topic] = loadshare.Progress{Next: next, AgeMillis: now.Sub(at).Milliseconds()}
 		}
 	}
@@ -84,8 +90,9 @@
 		if f == nil || p.AgeMillis < 0 {
 			continue
 		}
-		h.fleet.StoreAnswered(now.Add(-time.Duration(p.AgeMillis) * time.Millisecond))
-		f.Told(p.Next)
+		answeredAt := now.Add(-time.Duration(p.AgeMillis) * time.Millisecond)
+		h.fleet.StoreAnswered(answeredAt)
+		f.Told(p.Next, answeredAt)
 	}
 }
 
@@ -102,7 +109,7 @@
 		Client: h.adapter.Keyed, Topic: h.adapter.ConfigurationTopic, Wait: h.storeWait,
 		// A configuration may be larger than a datagram: the hosts read it themselves
 		// once a leader tells that there is one.
-		Sharing: &keyedlog.Sharing{Leads: h.leads},
+		Sharing: &keyedlog.Sharing{Leads: h.leads, Cover: coverTime},
 		Apply:   h.applyConfiguration,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
@@ -149,7 +156,7 @@
 func (h *Host) endpointsFollower() *keyedlog.Follower {
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.Keyed, Topic: h.adapter.EndpointsTopic, Wait: h.storeWait,
-		Pace: func() time.Duration { return endpointsPace }, Sharing: h.sharing(h.adapter.EndpointsTopic),
+		Pace: func() time.Duration { return endpointsPace }, Sharing: h.sharing(h.adapter.EndpointsTopic, coverTime),
 		Apply: func(r keyedlog.Record) {
 			h.applyEndpoint(r)
 			h.refreshModels()
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -27,8 +28,8 @@
 // peersFollower keeps the addresses of the other hosts.
 func (h *Host) peersFollower() *keyedlog.Follower {
 	return keyedlog.NewFollower(keyedlog.Options{
-		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic, Sharing: h.sharing(h.adapter.HostsTopic),
-		Wait: h.storeWait, Pace: func() time.Duration { return hostsPace },
+		Client: h.adapter.Keyed, Topic: h.adapter.HostsTopic, Sharing: h.sharing(h.adapter.HostsTopic, peersCover),
+		Wait: func() time.Duration { return peersWait - rand.N(peersWait/4) }, Pace: func() time.Duration { return hostsPace },
 		Apply: h.applyHost,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
