--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -88,11 +88,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	covered := f.coveredAt
-	if f.answeredAt.After(covered) {
-		covered = f.answeredAt
-	}
-	wait := min(awaitInterval, covered.Add(f.opts.Sharing.Cover).Sub(now))
+	// Own answers do not count: a host that nobody reads for reads all the time.
+	wait := min(awaitInterval, f.coveredAt.Add(f.opts.Sharing.Cover).Sub(now))
 	if f.told > f.next.Load() {
 		grace := offerGrace
 		if f.opts.Sharing.Publish == nil {
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -217,6 +217,30 @@
 	}
 }
 
+// TestCutOffHostReadsAllTheTime guards against a host that nobody reads for and
+// that looks into the store now and then only: it would be late with each change.
+func TestCutOffHostReadsAllTheTime(t *testing.T) {
+	l := newFakeLog()
+	l.put("a", "0")
+	g := startGroup(t, l, 3, 1)
+	eventually(t, "the first value", func() bool { return g.have("a", "0") })
+	g.mu.Lock()
+	g.nobody, g.alive[0], g.alive[1] = true, false, false
+	g.stops[0]()
+	g.stops[1]()
+	g.mu.Unlock()
+	time.Sleep(testCover + 500*time.Millisecond)
+	for _, value := range []string{"1", "2", "3", "4", "5"} {
+		time.Sleep(100 * time.Millisecond)
+		l.put("a", value)
+		began := time.Now()
+		eventually(t, "the next value", func() bool { return g.states[2].get("a") == value })
+		if took := time.Since(began); took > testCover/3 {
+			t.Errorf("read after %v", took)
+		}
+	}
+}
+
 // TestStaleWordsDoNotCover guards against hosts that keep each other from reading
 // with answers that the store gave long ago.
 func TestStaleWordsDoNotCover(t *testing.T) {
