--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -43,6 +43,12 @@
 	// was not heard for aliveFor does not count as a host.
 	heartbeat = time.Second
 	aliveFor  = 3500 * time.Millisecond
+	// silence is the time without a datagram after which a peer may have been cut
+	// off, returnTime the time that it then takes to hand over what it has kept, and
+	// forgetTime the time after which a silent one is not waited for any more.
+	silence    = 1500 * time.Millisecond
+	returnTime = 2 * time.Second
+	forgetTime = 12 * time.Second
 	// maxDatagramBytes keeps a datagram inside one packet.
 	maxDatagramBytes = 1300
 	// sendBytes is the usual size of one report, for cutting datagrams.
@@ -134,7 +140,9 @@
 
 type peer struct {
 	address netip.AddrPort
-	heardAt time.Time
+	// heardAt is when the host was last heard, returnedAt when for the first time
+	// after a silence.
+	heardAt, returnedAt time.Time
 }
 
 // New returns a share that Run starts.
@@ -298,6 +306,20 @@
 	return addresses
 }
 
+// Awaited reports whether a host has been silent since a time and may still come
+// back with what it has kept, or has just come back.
+func (s *Share) Awaited(since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, p := range s.peers {
+		if p.heardAt.Before(since) && now.Sub(p.heardAt) < forgetTime || now.Sub(p.returnedAt) < returnTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Alive returns the names of the hosts that were heard lately, this one included,
 // in no particular order.
 func (s *Share) Alive() []string {
@@ -382,7 +404,11 @@
 	s.mu.Lock()
 	p := s.peers[m.Host]
 	if p != nil {
-		p.heardAt = time.Now()
+		now := time.Now()
+		if now.Sub(p.heardAt) > silence {
+			p.returnedAt = now
+		}
+		p.heardAt = now
 	}
 	s.mu.Unlock()
 	if p == nil {
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -155,6 +155,37 @@
 	}
 }
 
+// TestSilentHostsAreAwaited guards against a window of usage that is closed while a
+// host which is cut off still keeps counts of it, and against one that waits for a
+// host that is gone.
+func TestSilentHostsAreAwaited(t *testing.T) {
+	s := New(Options{Host: "a", Followed: func() map[string]Progress { return nil }, Told: func(map[string]Progress) {}})
+	if err := s.SetPeer("b", "127.0.0.1:1"); err != nil {
+		t.Fatal(err)
+	}
+	b := s.peers["b"]
+	now := time.Now()
+	for name, c := range map[string]struct {
+		heard, since time.Duration // before now
+		awaited      bool
+	}{
+		"heard since":      {0, time.Second, false},
+		"silent":           {4 * time.Second, 3 * time.Second, true},
+		"silent for long":  {forgetTime, 3 * time.Second, false},
+		"silent and heard": {2 * time.Second, 3 * time.Second, false},
+	} {
+		b.heardAt = now.Add(-c.heard)
+		if got := s.Awaited(now.Add(-c.since)); got != c.awaited {
+			t.Errorf("%s: awaited %v", name, got)
+		}
+	}
+	b.heardAt = now.Add(-4 * time.Second)
+	s.apply(message{Host: "b"})
+	if !s.Awaited(now.Add(-5 * time.Second)) {
+		t.Error("a host that has just come back is not awaited")
+	}
+}
+
 // TestPagesGoOnFromEachOther guards against records that are lost where a page of
 // the store is divided into datagrams.
 func TestPagesGoOnFromEachOther(t *testing.T) {
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -60,6 +60,9 @@
 	// handInterval, usageFlush, and a second for slow hosts and a slow store. The
 	// rest of the time until a report is due is left for outages.
 	usageGrace = 2500 * time.Millisecond
+	// reportMargin is left between the latest close of a window and the time at which
+	// its report is due: for the close record, its reading and the report.
+	reportMargin = 3 * time.Second
 	// usagePace bounds the reads of a stream that all hosts append to.
 	usagePace = time.Second
 	// usageQuiet is the time without a record after which a host that does not
@@ -189,6 +192,10 @@
 		Windows: d.platform, Log: h.log, Window: h.settings.UsageWindow,
 		Grace: usageGrace, FlushInterval: usageFlush, QuietTime: usageQuiet, Reading: reading(usagePace),
 		Peers: otherCandidates{d}, HandAccepted: true,
+		Awaited: func(sinceEnd time.Duration) bool {
+			return h.share.Awaited(time.Now().Add(handInterval + usageFlush - sinceEnd))
+		},
+		LatestClose: max(usageGrace, h.settings.UsageDue-reportMargin),
 	})
 	h.log.Info("candidacy_begun")
 	return c
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -62,6 +62,10 @@
 	Sender    *orders.Sender
 	Interface Interface
 	Peers     Peers
+	// Awaited, if set, reports whether a host may still keep counts of a window that
+	// ended so long ago; the window then stays open until LatestClose after its end.
+	Awaited     func(sinceEnd time.Duration) bool
+	LatestClose time.Duration
 	// HandAccepted hands flushes that were accepted from peers on to other peers as
 	// well if they cannot be appended here.
 	HandAccepted bool
@@ -198,7 +202,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	window, ok := r.fold.due(now)
-	if !ok || read.ReadToEndAt.Before(r.length.end(window).Add(r.opts.Grace)) || r.countsKept(window, now, read) {
+	if !ok || read.ReadToEndAt.Before(r.length.end(window).Add(r.opts.Grace)) || r.countsKept(window, now, read) || r.awaits(window, now) {
 		return logservice.Entry{}, closeRecord{}, false
 	}
 	r.lastID++
@@ -220,6 +224,12 @@
 	return !r.length.end(window).Add(appended).Before(read.LostAt) && now.Sub(read.ReturnedAt) < appended
 }
 
+// awaits reports whether the window waits for hosts that are cut off.
+func (r *Reporter) awaits(window int64, now time.Time) bool {
+	sinceEnd := now.Sub(r.length.end(window))
+	return r.opts.Awaited != nil && sinceEnd < r.opts.LatestClose && r.opts.Awaited(sinceEnd)
+}
+
 // sendDue sends the reports of closed windows that no record marks as reported.
 func (r *Reporter) sendDue(ctx context.Context) {
 	for _, window := range r.unsent() {
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -293,6 +293,27 @@
 	})
 }
 
+// TestCutOffHostsAreWaitedFor guards against a window that is closed without the
+// counts of hosts that are cut off, though its report is not due yet, and against one
+// that waits until its report is late.
+func TestCutOffHostsAreWaitedFor(t *testing.T) {
+	end := time.Unix(1_700_000_040, 0)
+	window := windowLength(DefaultWindow).of(end) - 1
+	for _, c := range []struct {
+		after   time.Duration
+		awaited bool
+		closes  bool
+	}{{Grace, false, true}, {Grace, true, false}, {2*Grace - time.Second, true, false}, {2 * Grace, true, true}} {
+		awaited := func(sinceEnd time.Duration) bool { return c.awaited && sinceEnd == c.after }
+		r := &Reporter{opts: Options{Grace: Grace, LatestClose: 2 * Grace, Awaited: awaited}, Counter: &Counter{length: windowLength(DefaultWindow)}, fold: newFold(end, windowLength(DefaultWindow), guards{})}
+		r.fold.foldFlush(0, Flush{Incarnation: "a", Window: window, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 1}}})
+		now := end.Add(c.after)
+		if _, _, ok := r.closeEntry(now, logservice.TailStatus{ReadToEndAt: now}); ok != c.closes {
+			t.Errorf("%v after the end, awaited %v: closes %v", c.after, c.awaited, ok)
+		}
+	}
+}
+
 // TestCountsAfterAnOutageAreWaitedFor guards against a window that is closed in
 // the moment in which the log is back, before the hosts have appended the counts
 // that they kept.
