--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -241,7 +241,9 @@
 	if err != nil {
 		return err
 	}
-	appendCtx, cancel := clockwork.WithTimeout(ctx, c.clock, appendTimeout)
+	// A flush whose outcome is not known is repeated in the next round: repeats do no
+	// harm, and counts that come late are missing in their window.
+	appendCtx, cancel := clockwork.WithTimeout(ctx, c.clock, min(appendTimeout, c.interval))
 	defer cancel()
 	_, err = c.batcher.Append(appendCtx, e)
 	return err
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -24,8 +24,8 @@
 const reportInterval = 500 * time.Millisecond
 
 // flushRounds times the flush interval is the time in which a host appends its
-// counts. More would delay reports that are due soon after an outage.
-const flushRounds = 1
+// counts: one round may just have failed.
+const flushRounds = 2
 
 // Conn is one connection to the usage interface that carries one report.
 type Conn interface {
@@ -63,8 +63,10 @@
 	Interface Interface
 	Peers     Peers
 	// Awaited, if set, reports whether a host may still keep counts of a window that
-	// ended so long ago; the window then stays open until LatestClose after its end.
-	Awaited     func(sinceEnd time.Duration) bool
+	// ended so long ago; the window then stays open.
+	Awaited func(sinceEnd time.Duration) bool
+	// LatestClose is how long after its end a window may stay open for counts that
+	// hosts keep; zero for no limit.
 	LatestClose time.Duration
 	// HandAccepted hands flushes that were accepted from peers on to other peers as
 	// well if they cannot be appended here.
@@ -202,7 +204,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	window, ok := r.fold.due(now)
-	if !ok || read.ReadToEndAt.Before(r.length.end(window).Add(r.opts.Grace)) || r.countsKept(window, now, read) || r.awaits(window, now) {
+	if !ok || read.ReadToEndAt.Before(r.length.end(window).Add(r.opts.Grace)) || r.waits(window, now, read) {
 		return logservice.Entry{}, closeRecord{}, false
 	}
 	r.lastID++
@@ -217,17 +219,17 @@
 	return e, rec, err == nil
 }
 
-// countsKept reports whether hosts may still keep counts of the window that they
-// could not append in the last outage.
-func (r *Reporter) countsKept(window int64, now time.Time, read logservice.TailStatus) bool {
-	appended := flushRounds * r.opts.FlushInterval
-	return !r.length.end(window).Add(appended).Before(read.LostAt) && now.Sub(read.ReturnedAt) < appended
-}
-
-// awaits reports whether the window waits for hosts that are cut off.
-func (r *Reporter) awaits(window int64, now time.Time) bool {
-	sinceEnd := now.Sub(r.length.end(window))
-	return r.opts.Awaited != nil && sinceEnd < r.opts.LatestClose && r.opts.Awaited(sinceEnd)
+// waits reports whether the window stays open for counts that hosts may still keep:
+// those that they could not append in the last outage, and those of hosts that are
+// cut off.
+func (r *Reporter) waits(window int64, now time.Time, read logservice.TailStatus) bool {
+	end := r.length.end(window)
+	sinceEnd, appended := now.Sub(end), flushRounds*r.opts.FlushInterval
+	if r.opts.LatestClose > 0 && sinceEnd >= r.opts.LatestClose {
+		return false
+	}
+	kept := !end.Add(appended).Before(read.LostAt) && now.Sub(read.ReturnedAt) < appended
+	return kept || r.opts.Awaited != nil && r.opts.Awaited(sinceEnd)
 }
 
 // sendDue sends the reports of closed windows that no record marks as reported.
