--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -80,9 +80,9 @@
 	f.Behind(next)
 }
 
-// mustWait returns how long the follower may wait for news in place of a read of
+// mayWait returns how long the follower may wait for news in place of a read of
 // its own; zero if it has to read.
-func (f *Follower) mustWait(now time.Time) time.Duration {
+func (f *Follower) mayWait(now time.Time) time.Duration {
 	if f.opts.Sharing == nil || !f.known || f.opts.Sharing.Leads() {
 		return 0
 	}
@@ -103,7 +103,7 @@
 // await waits for pages or news of other hosts. It reports whether the follower
 // has to read by itself.
 func (f *Follower) await(ctx context.Context) bool {
-	wait := f.mustWait(time.Now())
+	wait := f.mayWait(time.Now())
 	if wait <= 0 {
 		return true
 	}
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -248,13 +248,13 @@
 	f.known = true
 	now := time.Now()
 	f.Told(0, now.Add(-testCover/2))
-	if f.mustWait(now) == 0 {
+	if f.mayWait(now) == 0 {
 		t.Error("a host reads though another one has just been answered")
 	}
 	for elapsed := time.Duration(0); elapsed < testCover; elapsed += testCover / 10 {
 		f.Told(0, now.Add(-testCover/2))
 	}
-	if f.mustWait(now.Add(testCover)) > 0 {
+	if f.mayWait(now.Add(testCover)) > 0 {
 		t.Error("a host waits though nobody was answered for long")
 	}
 }
