--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -167,13 +167,13 @@
 			least, most := f.backoffBounds()
 			backoff := min(least<<min(failures, maxDoublings), most)
 			failures++
-			f.pauseFailed(ctx, backoff/2+rand.N(backoff))
+			f.pause(ctx, backoff/2+rand.N(backoff), f.news)
 			continue
 		}
 		failures = 0
 		f.note(nil)
 		if f.opts.Pace != nil {
-			f.pause(ctx, f.opts.Pace()-time.Since(started))
+			f.pause(ctx, f.opts.Pace()-time.Since(started), nil)
 		}
 	}
 }
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/clementineshed/clementineshed/pkg/sleep"
 )
 
 const (
@@ -132,9 +130,11 @@
 	return minRestBackoff, restBackoff
 }
 
-// pauseFailed waits after a failed read for d, or until another host tells of new
-// records.
-func (f *Follower) pauseFailed(ctx context.Context, d time.Duration) {
+// pause waits for d, or until news or ctx ends it; offered pages are used meanwhile.
+func (f *Follower) pause(ctx context.Context, d time.Duration, news <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for {
@@ -143,7 +143,7 @@
 			return
 		case <-timer.C:
 			return
-		case <-f.news:
+		case <-news:
 			return
 		case o := <-f.offers:
 			f.take(o)
@@ -181,22 +181,3 @@
 	defer f.mu.Unlock()
 	return f.next.Load(), f.answeredAt
 }
-
-// pause waits until the pace allows another read; offered pages are used
-// meanwhile.
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	if f.opts.Sharing == nil {
-		sleep.For(ctx, d)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, max(d, 0))
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case o := <-f.offers:
-			f.take(o)
-		}
-	}
-}
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -61,20 +61,11 @@
 	return wait - rand.N(wait/4)
 }
 
-// followers returns the followers of the store by topic.
-func (h *Host) followers() map[string]*keyedlog.Follower {
-	return map[string]*keyedlog.Follower{
-		h.adapter.ConfigurationTopic: h.configuration,
-		h.adapter.EndpointsTopic:     h.endpoints,
-		h.adapter.HostsTopic:         h.peers,
-	}
-}
-
 // followed returns how far this host has read the store, for the other hosts.
 func (h *Host) followed() map[string]loadshare.Progress {
 	now := time.Now()
 	out := map[string]loadshare.Progress{}
-	for topic, f := range h.followers() {
+	for topic, f := range h.followers {
 		if next, at := f.Answered(); now.Sub(at) <= peersCover {
 			out[topic] = loadshare.Progress{Next: next, AgeMillis: now.Sub(at).Milliseconds()}
 		}
@@ -84,9 +75,9 @@
 
 // told takes over how far another host has read the store.
 func (h *Host) told(followed map[string]loadshare.Progress) {
-	followers, now := h.followers(), time.Now()
+	now := time.Now()
 	for topic, p := range followed {
-		f := followers[topic]
+		f := h.followers[topic]
 		if f == nil || p.AgeMillis < 0 {
 			continue
 		}
@@ -98,7 +89,7 @@
 
 // offer takes a page of the store that another host has read.
 func (h *Host) offer(topic string, from int64, page keyedlog.Page) {
-	if f := h.followers()[topic]; f != nil {
+	if f := h.followers[topic]; f != nil {
 		f.Offer(from, page)
 	}
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -81,10 +81,10 @@
 	metrics  *relay.Metrics
 	server   *fasthttp.Server
 	conns    *callerConns
-	// configuration, endpoints and peers follow the store.
-	configuration, endpoints, peers *keyedlog.Follower
-	share                           *loadshare.Share
-	duties                          *duties
+	// followers follow the store, by topic; they are not changed after New.
+	followers map[string]*keyedlog.Follower
+	share     *loadshare.Share
+	duties    *duties
 
 	// fleetVersion is the version of the fleet that the models know; it is used
 	// by one goroutine at a time under modelMu.
@@ -108,7 +108,11 @@
 		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
-	h.configuration, h.endpoints, h.peers = h.configurationFollower(), h.endpointsFollower(), h.peersFollower()
+	h.followers = map[string]*keyedlog.Follower{
+		adapter.ConfigurationTopic: h.configurationFollower(),
+		adapter.EndpointsTopic:     h.endpointsFollower(),
+		adapter.HostsTopic:         h.peersFollower(),
+	}
 	h.server = &fasthttp.Server{
 		Handler: h.handler.Handle, ConnState: h.conns.changed, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
 		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, NoDefaultDate: true,
@@ -168,9 +172,9 @@
 	work, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { h.handler.Run(work) })
-	wg.Go(func() { h.configuration.Run(work) })
-	wg.Go(func() { h.endpoints.Run(work) })
-	wg.Go(func() { h.peers.Run(work) })
+	for _, f := range h.followers {
+		wg.Go(func() { f.Run(work) })
+	}
 	wg.Go(func() { h.announce(work) })
 	wg.Go(func() { h.share.Run(work) })
 	wg.Go(func() { h.duties.run(work) })
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -54,7 +54,8 @@
 	peers       Peers
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
-	mu          sync.Mutex
+
+	mu sync.Mutex
 	// The fields below are guarded by mu.
 	windows  map[int64]*window
 	accepted map[source]Flush
