loadshare, relayhost: pages leave the link to callers; hosts with wide links lead

Its host reads the store for all and has a link of 10 Mbit/s; pages of announcements to 81 hosts filled the link for seconds, and the host lost the store six times in eight seconds.

Hosts announce the rate of their link and the widest lead. Pages take at most a fifth of a leader's link; what does not fit is read in the store.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -7,7 +7,8 @@
 // and by nothing else. Nothing that is billed, ordered or promised depends on
 // them. Reports are collected for a time that grows with the number of peers,
 // which bounds the datagrams that one host receives each second. Pages of the
-// store are sent at once; who misses one reads it in the store.
+// store are sent at once while they leave the host's link free for callers; who
+// misses one reads it in the store.
 //
 // Datagrams are used in place of QUIC streams because a report is worth nothing
 // once it is late, and the platform provides no keys for links between hosts.
@@ -23,6 +24,7 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
@@ -59,6 +61,14 @@
 	recordOverhead = 50
 	// maxQueued bounds the reports that wait; older ones are worth least.
 	maxQueued = 512
+	// publishShare is the part of the host's link that pages may take, and
+	// publishBurst the time of the link that they may take at once: requests wait
+	// behind them for as long. Every host gets its own copy of a page, so that on
+	// 10 Mbit/s a page of 200 announcements for 80 hosts takes five seconds.
+	publishShare = 0.2
+	publishBurst = 200 * time.Millisecond
+	// packetOverhead is what the headers of the network add to a datagram.
+	packetOverhead = 28
 )
 
 // message is one datagram.
@@ -112,6 +122,8 @@
 	// Host is this host's name.
 	Host string
 	Conn net.PacketConn
+	// LinkBytesPerSecond is the rate of this host's link; zero if it is not known.
+	LinkBytesPerSecond float64
 	// Observe receives the sends of other hosts.
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
@@ -131,6 +143,8 @@
 type Share struct {
 	opts Options
 	wake chan struct{}
+	// pages limits the bytes of published pages.
+	pages *rate.Limiter
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -138,8 +152,16 @@
 	peers map[string]*peer
 }
 
+// Member is a host.
+type Member struct {
+	Host string
+	// LinkBytesPerSecond is the rate of the host's link; zero if it is not known.
+	LinkBytesPerSecond float64
+}
+
 type peer struct {
 	address netip.AddrPort
+	link    float64
 	// heardAt is when the host was last heard, returnedAt when for the first time
 	// after a silence.
 	heardAt, returnedAt time.Time
@@ -147,24 +169,28 @@
 
 // New returns a share that Run starts.
 func New(opts Options) *Share {
-	return &Share{opts: opts, wake: make(chan struct{}, 1), peers: map[string]*peer{}}
+	s := &Share{opts: opts, wake: make(chan struct{}, 1), pages: rate.NewLimiter(rate.Inf, 0), peers: map[string]*peer{}}
+	if link := opts.LinkBytesPerSecond; link > 0 {
+		s.pages = rate.NewLimiter(rate.Limit(link*publishShare), int(link*publishBurst.Seconds()))
+	}
+	return s
 }
 
 // SetPeer notes the address of a host; this host itself is ignored.
-func (s *Share) SetPeer(host, address string) error {
-	if host == s.opts.Host {
+func (s *Share) SetPeer(m Member, address string) error {
+	if m.Host == s.opts.Host {
 		return nil
 	}
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return errors.Wrapf(err, "address of host %s", host)
+		return errors.Wrapf(err, "address of host %s", m.Host)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.peers[host]; p != nil && p.address == parsed {
+	if p := s.peers[m.Host]; p != nil && p.address == parsed && p.link == m.LinkBytesPerSecond {
 		return nil
 	}
-	s.peers[host] = &peer{address: parsed, heardAt: time.Now()}
+	s.peers[m.Host] = &peer{address: parsed, link: m.LinkBytesPerSecond, heardAt: time.Now()}
 	return nil
 }
 
@@ -214,14 +240,23 @@
 }
 
 // Publish sends a page of a topic, read from an offset on, to all peers at once.
+// Parts of it that the link has no room for are not sent: the peers are told how
+// far this host has read, and read them in the store. The load pattern: many
+// endpoints that come or go at once, at a host with a narrow link.
 func (s *Share) Publish(topic string, from int64, page keyedlog.Page) {
 	addresses := s.addresses()
-	for _, part := range cutPage(topic, from, page) {
+	parts := cutPage(topic, from, page)
+	for i, part := range parts {
 		data, err := cbor.Marshal(message{Host: s.opts.Host, Followed: s.opts.Followed(), Pages: []sharedPage{part}})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("page_not_encoded")
 			return
 		}
+		if !s.pages.AllowN(time.Now(), (len(data)+packetOverhead)*len(addresses)) {
+			s.opts.Log.WithFields(log.Fields{"topic": topic, "from": part.From, "next": page.Next, "parts_sent": i, "parts": len(parts), "hosts": len(addresses)}).Info("page_not_shared")
+			s.Wake()
+			return
+		}
 		s.send(data, addresses)
 	}
 }
@@ -320,18 +355,18 @@
 	return false
 }
 
-// Alive returns the names of the hosts that were heard lately, this one included,
-// in no particular order.
-func (s *Share) Alive() []string {
+// Alive returns the hosts that were heard lately, this one included, in no
+// particular order.
+func (s *Share) Alive() []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := []string{s.opts.Host}
+	members := []Member{{s.opts.Host, s.opts.LinkBytesPerSecond}}
 	for name, p := range s.peers {
 		if time.Since(p.heardAt) < aliveFor {
-			names = append(names, name)
+			members = append(members, Member{name, p.link})
 		}
 	}
-	return names
+	return members
 }
 
 // Run sends and receives until ctx ends. The caller closes the connection.
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"reflect"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +71,7 @@
 	t.Helper()
 	for _, a := range nodes {
 		for name, b := range nodes {
-			if err := a.share.SetPeer(name, b.conn.LocalAddr().String()); err != nil {
+			if err := a.share.SetPeer(Member{Host: name}, b.conn.LocalAddr().String()); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -118,7 +119,7 @@
 	a, b := start(t, "a"), start(t, "b")
 	stranger := start(t, "stranger")
 	connect(t, map[string]*node{"a": a, "b": b})
-	if err := stranger.share.SetPeer("b", b.conn.LocalAddr().String()); err != nil {
+	if err := stranger.share.SetPeer(Member{Host: "b"}, b.conn.LocalAddr().String()); err != nil {
 		t.Fatal(err)
 	}
 	stranger.share.Report("llm", placement.Sent{EngineID: "e9", Role: endpoint.RolePrefill})
@@ -160,7 +161,7 @@
 // host that is gone.
 func TestSilentHostsAreAwaited(t *testing.T) {
 	s := New(Options{Host: "a", Followed: func() map[string]Progress { return nil }, Told: func(map[string]Progress) {}})
-	if err := s.SetPeer("b", "127.0.0.1:1"); err != nil {
+	if err := s.SetPeer(Member{Host: "b"}, "127.0.0.1:1"); err != nil {
 		t.Fatal(err)
 	}
 	b := s.peers["b"]
@@ -213,3 +214,49 @@
 		t.Errorf("%d records in %d parts", records, len(b.offers))
 	}
 }
+
+// sizes is a connection that notes the bytes sent.
+type sizes struct {
+	net.PacketConn
+	bytes int
+}
+
+func (s *sizes) WriteTo(p []byte, _ net.Addr) (int, error) {
+	s.bytes += len(p)
+	return len(p), nil
+}
+
+// TestPagesLeaveTheLinkFree guards against a leader whose callers wait for seconds
+// behind the pages that it sends: many endpoints come at once, and the host has one
+// of the narrow links of a large fleet.
+func TestPagesLeaveTheLinkFree(t *testing.T) {
+	const link, peers, records = 1.25e6, 81, 200
+	conn := &sizes{}
+	s := New(Options{Host: "leader", Conn: conn, LinkBytesPerSecond: link, Log: logging.Discard(), Followed: func() map[string]Progress { return nil }})
+	for i := range peers {
+		if err := s.SetPeer(Member{Host: strconv.Itoa(i)}, "127.0.0.1:1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page := keyedlog.Page{Next: records}
+	for i := range records {
+		page.Records = append(page.Records, keyedlog.Record{Offset: int64(i), Key: "i-98730906d4", Value: make([]byte, 300)})
+	}
+	began := time.Now()
+	s.Publish("t", 0, page)
+	if held := time.Duration(float64(conn.bytes) / link * float64(time.Second)); conn.bytes == 0 || held > 250*time.Millisecond {
+		t.Errorf("the link is held for %s by %d bytes", held, conn.bytes)
+	}
+	select {
+	case <-s.wake:
+	default:
+		t.Error("the other hosts are not told to read")
+	}
+	// A change now and then is still shared.
+	time.Sleep(time.Until(began.Add(500 * time.Millisecond)))
+	conn.bytes = 0
+	s.Publish("t", records, keyedlog.Page{Next: records + 1, Records: []keyedlog.Record{{Offset: records, Value: make([]byte, 300)}}})
+	if conn.bytes == 0 {
+		t.Error("a single change is not shared")
+	}
+}
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -1,15 +1,12 @@
 package relayhost
 
 import (
-	"cmp"
 	"context"
 	"math/rand"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
@@ -228,15 +225,8 @@
 	return d.candidacy
 }
 
-// candidates returns the hosts that stand, most preferred first: all hosts that
-// hear each other name the same ones, whatever their order of start.
-func (d *duties) candidates() []string {
-	names := d.host.share.Alive()
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), strings.Compare(a, b))
-	})
-	return names[:min(len(names), maxCandidates)]
-}
+// candidates returns the hosts that stand, most preferred first.
+func (d *duties) candidates() []string { return mostFit(d.host.share.Alive(), maxCandidates) }
 
 // Hand implements usage.Peers.
 func (d *duties) Hand(_ context.Context, flushes []usage.Flush) error {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -167,7 +167,7 @@
 		return errors.Wrap(err, "listen for reports of other hosts")
 	}
 	defer func() { _ = link.Close() }()
-	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Followed: h.followed, Told: h.told, Offer: h.offer, Log: h.log})
+	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Followed: h.followed, Told: h.told, Offer: h.offer, Log: h.log})
 	h.duties = newDuties(h, h.adapter.Stream, h.adapter.Platform)
 	work, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
 
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/loadshare"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -45,18 +47,36 @@
 		h.share.RemovePeer(r.Key)
 		return
 	}
-	if err := h.share.SetPeer(r.Key, string(r.Value)); err != nil {
-		h.log.WithField("offset", r.Offset).WithError(err).Warn("host_address_not_readable")
+	var a announcement
+	err := json.Unmarshal(r.Value, &a)
+	if err == nil {
+		err = h.share.SetPeer(loadshare.Member{Host: r.Key, LinkBytesPerSecond: a.LinkBytesPerSecond}, a.Address)
 	}
+	if err != nil {
+		h.log.WithField("offset", r.Offset).WithError(err).Warn("host_not_readable")
+	}
+}
+
+// announcement is what a host tells the others of itself, by its name.
+type announcement struct {
+	// Address takes the datagrams of other hosts.
+	Address            string  `json:"address"`
+	LinkBytesPerSecond float64 `json:"linkBytesPerSecond"`
 }
 
-// announce writes this host's address to the store until it succeeds. An address
+// announce writes this host's announcement to the store until it succeeds. One
 // that is written twice does no harm.
 func (h *Host) announce(ctx context.Context) {
-	address := net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.LinkPort))
+	value, err := json.Marshal(announcement{
+		Address: net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.LinkPort)), LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
+	})
+	if err != nil {
+		h.log.WithError(err).Error("host_not_announced")
+		return
+	}
 	for ctx.Err() == nil {
 		writeCtx, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := h.adapter.Keyed.Write(writeCtx, h.adapter.HostsTopic, h.settings.Host, []byte(address))
+		err := h.adapter.Keyed.Write(writeCtx, h.adapter.HostsTopic, h.settings.Host, value)
 		cancel()
 		if err == nil {
 			return
--- a/pkg/relayhost/settings.go
+++ b/pkg/relayhost/settings.go
@@ -19,6 +19,8 @@
 	LinkPort, MetricsPort int
 	// MemoryBytes is the limit at which the process is killed.
 	MemoryBytes int64
+	// LinkBytesPerSecond is the rate of the host's link.
+	LinkBytesPerSecond float64
 	// StoreAddress is the platform's store.
 	StoreAddress string
 	// CloudAddress takes usage reports and orders for endpoints; it may be empty.
