outlier: an ejection by one host counts for all

Cause: every host found out about a dark or failing endpoint by requests of its own; with 6 to 82 hosts the same endpoint cost as many requests or twice that.

Ejections are told by datagram. They are believed for up to a third of a service's endpoints, and not against an endpoint that has answered within half a second: a host that is cut off ejects what the others reach. Where an ejection was heard of it lasts a little longer, so that one host tries again first.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -104,7 +104,7 @@
 	Service string
 	Engine  string
 	// Phase is 1 for prefill and 2 for decode sends, 3 for an engine that takes no
-	// work for the time in WorkMicros.
+	// work for the time in WorkMicros, 4 for an endpoint that the host has ejected.
 	Phase      uint8
 	WorkMicros int64
 	Parts      []uint64
@@ -115,6 +115,7 @@
 	phasePrefill = 1
 	phaseDecode  = 2
 	phaseBlocked = 3
+	phaseEjected = 4
 )
 
 // Options configure a Share.
@@ -128,6 +129,8 @@
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
 	Blocked func(service, engine string, d time.Duration)
+	// Ejected receives the endpoints that other hosts have ejected.
+	Ejected func(service, endpoint, host string)
 	// Followed returns how far this host has followed the topics whose reads the
 	// store answers; Told is given the same of another host, Offer a page that it
 	// has read.
@@ -230,6 +233,11 @@
 	s.enqueue(report{Service: service, Engine: engine, Phase: phaseBlocked, WorkMicros: d.Microseconds()})
 }
 
+// Eject tells the other hosts that this one has ejected an endpoint.
+func (s *Share) Eject(service, endpoint string) {
+	s.enqueue(report{Service: service, Engine: endpoint, Phase: phaseEjected})
+}
+
 func (s *Share) enqueue(r report) {
 	s.mu.Lock()
 	if len(s.queue) < maxQueued {
@@ -461,9 +469,13 @@
 		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
 			continue
 		}
-		if r.Phase == phaseBlocked {
+		switch r.Phase {
+		case phaseBlocked:
 			s.opts.Blocked(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
+		case phaseEjected:
+			s.opts.Ejected(r.Service, r.Engine, m.Host)
+			continue
 		}
 		sent := placement.Sent{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros}
 		if r.Phase == phaseDecode {
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -55,3 +55,77 @@
 		}
 	}
 }
+
+// TestManyHostsLoseFewRequests replays many hosts with few requests each and an
+// endpoint that goes dark. It guards against each host losing requests to it before
+// it is ejected there.
+func TestManyHostsLoseFewRequests(t *testing.T) {
+	const hosts, endpoints = 80, 20
+	trackers := make([]*Tracker, hosts)
+	ids := make([]string, endpoints)
+	for i := range trackers {
+		trackers[i] = NewTracker()
+	}
+	for i := range ids {
+		ids[i] = string(rune('a' + i))
+	}
+	lost, now := 0, start
+	for round := range 40 {
+		for h, tr := range trackers {
+			now = now.Add(time.Millisecond)
+			id := ids[(round+h)%endpoints]
+			switch {
+			case tr.Suspect(id, now):
+			case id != "a":
+				tr.Succeeded(id, now)
+			default:
+				lost++
+				if tr.Failed(id, Silent, now) && tr.Believable(ids, now) {
+					for _, other := range trackers {
+						other.Heard(id, ids, 0.5, now)
+					}
+				}
+			}
+		}
+	}
+	// Forty rounds take 3.2 s: the first failure, and one when its ejection ends.
+	if lost > 3 {
+		t.Errorf("%d requests were lost to the dark endpoint", lost)
+	}
+}
+
+// TestCutOffHostIsNotBelieved guards against a host that reaches no endpoint and has
+// the others eject all of them.
+func TestCutOffHostIsNotBelieved(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	cut, other, now := NewTracker(), NewTracker(), start
+	for _, id := range ids {
+		now = now.Add(100 * time.Millisecond)
+		if cut.Failed(id, Silent, now) && cut.Believable(ids, now) {
+			other.Heard(id, ids, 0, now)
+		}
+	}
+	ejected := 0
+	for _, id := range ids {
+		if other.Suspect(id, now) {
+			ejected++
+		}
+	}
+	if ejected > 4 {
+		t.Errorf("%d of %d endpoints are ejected by the word of a host that is cut off", ejected, len(ids))
+	}
+}
+
+// TestOwnAnswerCountsMore guards against the loss of an endpoint that answers here
+// and that another host does not reach.
+func TestOwnAnswerCountsMore(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	tr := NewTracker()
+	tr.Succeeded("a", start)
+	if tr.Heard("a", ids, 0, start.Add(100*time.Millisecond)) || tr.Suspect("a", start.Add(100*time.Millisecond)) {
+		t.Error("an endpoint that has just answered is ejected by another host's word")
+	}
+	if !tr.Heard("a", ids, 0, start.Add(2*time.Second)) {
+		t.Error("an endpoint that answered two seconds ago is not ejected")
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -42,6 +42,8 @@
 	Outliers *outlier.Tracker
 	Budget   *retry.Shared
 	Client   *upstream.Client
+	// OnEjected is told of each endpoint that is ejected, for the other hosts.
+	OnEjected func(m fleet.Member)
 	// OnSent is told of each send of model work, for the other hosts.
 	OnSent func(service string, sent placement.Sent)
 	// OnRun is told of each request that an endpoint began to run.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -103,5 +103,6 @@
 	}
 	if h.Outliers.Failed(m.ID, severity, now) {
 		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
+		h.OnEjected(m)
 	}
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -105,7 +105,7 @@
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
 		Budget: retry.NewShared(settings.Repeats, h.knownHosts), Client: h.client,
-		OnSent: h.sent, OnRun: h.ran, Metrics: h.metrics, Log: logger,
+		OnSent: h.sent, OnRun: h.ran, OnEjected: h.ejected, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
 	h.followers = map[string]*keyedlog.Follower{
@@ -167,7 +167,7 @@
 		return errors.Wrap(err, "listen for reports of other hosts")
 	}
 	defer func() { _ = link.Close() }()
-	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, Observe: h.observe, Blocked: h.blocked, Accept: h.accept, Followed: h.followed, Told: h.told, Offer: h.offer, Log: h.log})
+	h.share = loadshare.New(loadshare.Options{Host: h.settings.Host, Conn: link, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, Observe: h.observe, Blocked: h.blocked, Ejected: h.heardOfEjection, Accept: h.accept, Followed: h.followed, Told: h.told, Offer: h.offer, Log: h.log})
 	h.duties = newDuties(h, h.adapter.Stream, h.adapter.Platform)
 	work, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
