relay: after a refused handle the next engine copies the prompt's memory

Cause: a decode engine that is full and one that cannot fetch a lapsed handle refuse in the same way. Requests tried one handle at three engines, read the prompt again at the engine that holds it cached, whose handles lapse, and were refused as nothing was left of the repeats (outcome no_endpoint, uncached=1).

The engine tried next gets no handle but the address to copy from, which works in both cases.

--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -197,6 +197,10 @@
 
 // generateFrom has a decode engine go on from the handle. again says that the
 // prompt has to be read anew.
+//
+// An engine that refuses may be full, or the handle may have lapsed, which look the
+// same. The next engine is told to copy what the engine of the prefill keeps of the
+// prompt: that answers both, while a handle that has lapsed is refused everywhere.
 func (g *generation) generateFrom(handle promptHandle, from fleet.Member) (s *stream, again bool, r *refusal.Refusal) {
 	taken := false
 	defer func() {
@@ -206,6 +210,7 @@
 	}()
 	job := g.job
 	job.Exclude = nil
+	send := Send{Phase: Generate, Handle: handle.id, HandleAt: handle.member.Address}
 	for {
 		if r := g.x.ended(); r != nil {
 			return nil, false, r
@@ -214,10 +219,9 @@
 		if !ok {
 			return nil, false, g.noDecode(nil)
 		}
-		send := Send{Phase: Generate, Handle: handle.id, HandleAt: handle.member.Address}
 		s, err := g.start(choice, send)
 		if err == nil {
-			taken = true
+			taken = send.Phase == Generate
 			return s, false, nil
 		}
 		job.Exclude = append(job.Exclude, choice.Engine.ID)
@@ -227,8 +231,8 @@
 		switch {
 		case unsent(err) && len(job.Exclude) < maxDecodes:
 		case certainlyNotRun(err) && len(job.Exclude) < maxDecodes && g.h.Budget.Spend(g.x.service, time.Now()):
-			// The engine may have tried to fetch the handle, which then is gone.
 			g.h.Metrics.Repeats.Add(1)
+			send = Send{Phase: Whole, CopyFrom: handle.member.Address}
 		case g.mayRunAgain(err):
 			return nil, true, nil
 		default:
