outlier: a failure domain that gives no answer is ejected as a whole

Cause: in a cut zone each host waited for every endpoint of the other zones in turn, 350 ms and more each, and refused what had tried three (no_endpoint).

Four silent endpoints, found here or told of by others and at least one of them here, and no answer from the domain for a second eject all of it for 1.5 s; the next answer ends that. A request without an answer in its time counts as well.

--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -14,11 +14,16 @@
 // dark endpoint, so an ejection by one of them counts for all (Heard). A host that is
 // cut off ejects what the others reach: beyond a share of the endpoints nobody is
 // believed, and neither is a word against an endpoint that has just answered.
+//
+// A host that is cut off from a failure domain would wait for each of its endpoints
+// in turn. Several silent ones and no answer from the domain eject all of them.
 package outlier
 
 import (
 	"sync"
 	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/fleet"
 )
 
 const (
@@ -47,10 +52,12 @@
 // Severity says how much a failure tells about the endpoint.
 type Severity int
 
-// Severities. A Silent endpoint did not answer or could not be reached; an
-// Erratic one answered with a failure or broke its answer off.
+// Severities. A Silent endpoint could not be reached; an Unanswering one was, and
+// gave no answer in its time, which a slow one does as well; an Erratic one answered
+// with a failure or broke its answer off.
 const (
 	Erratic Severity = iota
+	Unanswering
 	Silent
 )
 
@@ -63,18 +70,23 @@
 
 // Tracker judges endpoints. It is safe for concurrent use.
 type Tracker struct {
-	mu      sync.Mutex
-	records map[string]*record // guarded by mu
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	records map[string]*record
+	domains map[string]*domain
 }
 
 // NewTracker returns a tracker without suspects.
-func NewTracker() *Tracker { return &Tracker{records: map[string]*record{}} }
+func NewTracker() *Tracker {
+	return &Tracker{records: map[string]*record{}, domains: map[string]*domain{}}
+}
 
 // Succeeded notes a whole answer.
-func (t *Tracker) Succeeded(id string, now time.Time) {
+func (t *Tracker) Succeeded(m fleet.Member, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.record(id)
+	t.domain(m.Domain).answered(now)
+	r := t.record(m.ID)
 	r.succeededAt = now
 	r.samples = r.samples*memory + 1
 	r.failures *= memory
@@ -93,10 +105,35 @@
 	return r
 }
 
-// Failed notes a failure and reports whether the endpoint was ejected by it.
-func (t *Tracker) Failed(id string, severity Severity, now time.Time) bool {
+// domain must be called with mu held.
+func (t *Tracker) domain(name string) *domain {
+	d := t.domains[name]
+	if d == nil {
+		d = &domain{silent: map[string]time.Time{}}
+		t.domains[name] = d
+	}
+	return d
+}
+
+// Verdict is what a failure led to.
+type Verdict struct {
+	// Ejected says that the endpoint was ejected, DomainEjected that all endpoints
+	// of its failure domain were.
+	Ejected, DomainEjected bool
+}
+
+// Failed notes a failure.
+func (t *Tracker) Failed(m fleet.Member, severity Severity, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return Verdict{
+		Ejected:       t.failed(m.ID, severity, now),
+		DomainEjected: severity != Erratic && t.domain(m.Domain).fell(m.ID, true, now),
+	}
+}
+
+// failed must be called with mu held.
+func (t *Tracker) failed(id string, severity Severity, now time.Time) bool {
 	r := t.record(id)
 	r.samples = r.samples*memory + 1
 	r.failures = r.failures*memory + 1
@@ -117,44 +154,45 @@
 	r.ejections++
 }
 
-// Heard notes that another host has ejected the endpoint, one of those of a service,
-// and reports whether it is ejected here by it. spread, from 0 to 1, lengthens the
+// Heard notes that another host has ejected the endpoint, one of those of a service.
+// spread, from 0 to 1, lengthens the
 // ejection by up to heardMargin more, so that the hosts do not try the endpoint again
 // at the same time.
-func (t *Tracker) Heard(id string, endpoints []string, spread float64, now time.Time) bool {
-	if !t.Believable(endpoints, now) {
-		return false
-	}
+func (t *Tracker) Heard(m fleet.Member, endpoints []fleet.Member, spread float64, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.record(id)
-	if now.Before(r.until) || now.Sub(r.succeededAt) < provenFor {
-		return false
+	v := Verdict{DomainEjected: t.domain(m.Domain).fell(m.ID, false, now)}
+	r := t.record(m.ID)
+	if now.Before(r.until) || now.Sub(r.succeededAt) < provenFor || !t.believable(endpoints, now) {
+		return v
 	}
 	r.eject(now, heardMargin+time.Duration(spread*float64(heardMargin)))
-	return true
+	v.Ejected = true
+	return v
 }
 
-// Believable reports whether so few of a service's endpoints are ejected here that
-// the endpoints are more likely at fault than this host's links.
-func (t *Tracker) Believable(endpoints []string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// believable reports whether so few of a service's endpoints are ejected here that
+// they are more likely at fault than the links of a host. It must be called with mu
+// held.
+func (t *Tracker) believable(endpoints []fleet.Member, now time.Time) bool {
 	ejected := 0
-	for _, id := range endpoints {
-		if r := t.records[id]; r != nil && now.Before(r.until) {
+	for _, m := range endpoints {
+		if r := t.records[m.ID]; r != nil && now.Before(r.until) {
 			ejected++
 		}
 	}
 	return float64(ejected) <= max(1, believedShare*float64(len(endpoints)))
 }
 
-// Suspect reports whether the endpoint is ejected.
-func (t *Tracker) Suspect(id string, now time.Time) bool {
+// Suspect reports whether the endpoint or its failure domain is ejected.
+func (t *Tracker) Suspect(m fleet.Member, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[id]
-	return r != nil && now.Before(r.until)
+	if r := t.records[m.ID]; r != nil && now.Before(r.until) {
+		return true
+	}
+	d := t.domains[m.Domain]
+	return d != nil && now.Before(d.until)
 }
 
 // Forget drops what is known of an endpoint that is gone or has restarted.
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -30,7 +30,7 @@
 type Health interface {
 	// Suspect reports whether the endpoint should get no work if there is a
 	// choice.
-	Suspect(id string, now time.Time) bool
+	Suspect(m fleet.Member, now time.Time) bool
 }
 
 // Prefill chooses the engine that reads the prompt. It returns false if no
@@ -160,7 +160,7 @@
 		if now.Before(e.blockedUntil) || e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) {
 			continue
 		}
-		if health.Suspect(e.member.ID, now) {
+		if health.Suspect(e.member, now) {
 			suspect = append(suspect, e)
 			continue
 		}
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -45,7 +45,7 @@
 		if m.Domain != b.domain {
 			cost += farRequests
 		}
-		if health.Suspect(m.ID, now) {
+		if health.Suspect(m, now) {
 			cost += 1000
 		}
 		if m.Warming > 0 {
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -17,7 +17,7 @@
 
 type noSuspects struct{}
 
-func (noSuspects) Suspect(string, time.Time) bool { return false }
+func (noSuspects) Suspect(fleet.Member, time.Time) bool { return false }
 
 // The figures of the deployments' engines: tokens a second, the rest of a prefill,
 // and the declared link.
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -141,7 +141,7 @@
 		return promptHandle{}, err
 	}
 	g.model.End(ticket, placement.Completed, done)
-	g.h.Outliers.Succeeded(c.Engine.ID, done)
+	g.h.Outliers.Succeeded(c.Engine, done)
 	g.h.Metrics.Prefill.Record(done.Sub(now))
 	return promptHandle{id: id, member: c.Engine}, nil
 }
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -101,9 +101,9 @@
 		return nil, nil, err
 	}
 	if answer.Status >= 500 {
-		h.Outliers.Failed(m.ID, outlier.Erratic, time.Now())
+		h.Outliers.Failed(m, outlier.Erratic, time.Now())
 	} else {
-		h.Outliers.Succeeded(m.ID, time.Now())
+		h.Outliers.Succeeded(m, time.Now())
 	}
 	return answer, body, nil
 }
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -95,13 +95,18 @@
 	case errors.Is(err, upstream.ErrNoAnswer):
 		// It may be dark or only slow: the next connection tells. Other open ones
 		// may have gone silent as well.
+		severity = outlier.Unanswering
 		h.Client.Drop(m.Address)
 	case certainlyNotRun(err):
 		// A full endpoint, or one under an order, is not a broken one.
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalPause))
 		return
 	}
-	if h.Outliers.Failed(m.ID, severity, now) {
+	verdict := h.Outliers.Failed(m, severity, now)
+	if verdict.DomainEjected {
+		h.Log.WithField("domain", m.Domain).WithField("endpoint", m.ID).WithError(err).Warn("domain_ejected")
+	}
+	if verdict.Ejected {
 		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
 		h.OnEjected(m)
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -133,7 +133,7 @@
 	body, err := s.answer.ReadAll(maxAnswerBytes)
 	g.h.began(g.x)
 	if s.answer.Status >= 500 {
-		g.h.Outliers.Failed(s.member.ID, outlier.Erratic, time.Now())
+		g.h.Outliers.Failed(s.member, outlier.Erratic, time.Now())
 	}
 	s.close(placement.Failed)
 	if err != nil {
@@ -229,7 +229,7 @@
 }
 
 func (b *body) finish() {
-	b.g.h.Outliers.Succeeded(b.s.member.ID, time.Now())
+	b.g.h.Outliers.Succeeded(b.s.member, time.Now())
 	b.s.close(placement.Completed)
 }
 
