relay: requests wait for a host that has just started

Requests wait up to 0.5 s after the start of the host until the configuration and the endpoints are known. After that a host without them refuses at once.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -28,6 +28,12 @@
 	// stopRetryAfter is told to callers of a host that is stopping; the next
 	// connection reaches another host.
 	stopRetryAfter = 20 * time.Millisecond
+	// startTime is how long requests wait for a host that has just started. It reads
+	// the store in about 100 ms; a request that is refused comes back later than that.
+	startTime = 500 * time.Millisecond
+	// startRetryAfter is told to callers of a host that has read nothing by then; the
+	// next connection reaches another one.
+	startRetryAfter = 300 * time.Millisecond
 	// maxAnswerBytes bounds a plain answer, which is held in memory until whole.
 	maxAnswerBytes = 8 << 20
 )
@@ -42,6 +48,8 @@
 	Outliers *outlier.Tracker
 	Budget   *retry.Shared
 	Client   *upstream.Client
+	// Known is closed once the configuration and the endpoints have been read.
+	Known <-chan struct{}
 	// OnEjected is told of each endpoint that is ejected, for the other hosts.
 	OnEjected func(m fleet.Member)
 	// OnSent is told of each send of model work, for the other hosts.
@@ -58,12 +66,14 @@
 	inflight inflight
 	draining atomic.Bool
 	stopping atomic.Bool
-	wg       sync.WaitGroup
+	// startedAt is when the host started.
+	startedAt time.Time
+	wg        sync.WaitGroup
 }
 
 // New returns a handler. Run must be running while it serves.
 func New(opts Options) *Handler {
-	return &Handler{Options: opts, inflight: inflight{byExchange: map[*exchange]struct{}{}}}
+	return &Handler{Options: opts, startedAt: time.Now(), inflight: inflight{byExchange: map[*exchange]struct{}{}}}
 }
 
 // Run watches for callers that go away until ctx ends.
@@ -106,6 +116,29 @@
 	}
 }
 
+// awaitStart waits, for startTime after the start of the host, until it knows the
+// configuration and the endpoints. The load pattern: all hosts are lost at once, and
+// the callers come to each as soon as it listens. Later a host without them refuses
+// at once: the store does not answer.
+func (h *Handler) awaitStart(x *exchange) {
+	select {
+	case <-h.Known:
+		return
+	default:
+	}
+	wait := time.Until(h.startedAt.Add(startTime))
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-h.Known:
+	case <-timer.C:
+	case <-x.work.Done():
+	}
+}
+
 // serve answers the request, or returns the refusal to answer it with.
 func (h *Handler) serve(x *exchange) *refusal.Refusal {
 	if r := h.identify(x); r != nil {
@@ -127,9 +160,10 @@
 	if h.stopping.Load() {
 		return refusal.NotRun(503, refusal.CodeStopping, "the host is stopping").After(stopRetryAfter)
 	}
+	h.awaitStart(x)
 	table, err := h.Routes.Current()
 	if err != nil {
-		return refusal.NotRun(503, refusal.CodeNotReady, "the host has no configuration yet").After(time.Second).Because(err)
+		return refusal.NotRun(503, refusal.CodeNotReady, "the host has no configuration yet").After(startRetryAfter).Because(err)
 	}
 	x.table = table
 	call, err := h.Codec.Decode(x.ctx)
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -128,6 +128,7 @@
 		h.refreshPhysics(document)
 		h.forgetFleetVersion()
 		h.refreshModels()
+		h.noteKnown()
 	}
 }
 
@@ -169,6 +170,14 @@
 	}
 	h.refreshModels()
 	h.endpointsKnown.Store(true)
+	h.noteKnown()
+}
+
+// noteKnown lets the requests in that came before the store was read.
+func (h *Host) noteKnown() {
+	if _, err := h.routes.Current(); err == nil && h.endpointsKnown.Load() {
+		h.knownOnce.Do(func() { close(h.known) })
+	}
 }
 
 func (h *Host) applyEndpoint(r keyedlog.Record) {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -91,21 +91,24 @@
 	modelMu      sync.Mutex
 	fleetVersion int64
 
-	// endpointsKnown is set once the announcements have been read.
+	// endpointsKnown is set once the announcements have been read; known is closed
+	// once the configuration has been read as well.
 	endpointsKnown atomic.Bool
+	known          chan struct{}
+	knownOnce      sync.Once
 	draining       atomic.Bool
 }
 
 // New returns a host that Run starts.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	h := &Host{settings: settings, adapter: adapter, log: logger, fleet: fleet.NewRegistry(), models: placement.NewModels(),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1,
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, known: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleLimit: idleLimit, MaxIdle: maxIdle})}
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
 		Budget: retry.NewShared(settings.Repeats, h.knownHosts), Client: h.client,
-		OnSent: h.sent, OnRun: h.ran, OnEjected: h.ejected, Metrics: h.metrics, Log: logger,
+		OnSent: h.sent, OnRun: h.ran, OnEjected: h.ejected, Known: h.known, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
 	h.followers = map[string]*keyedlog.Follower{
