outlier: only unreachable endpoints speak against a failure domain

An endpoint that another host has ejected for its failures answers, so it says nothing of the way to its domain.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -104,7 +104,8 @@
 	Service string
 	Engine  string
 	// Phase is 1 for prefill and 2 for decode sends, 3 for an engine that takes no
-	// work for the time in WorkMicros, 4 for an endpoint that the host has ejected.
+	// work for the time in WorkMicros, 4 for an endpoint that the host has ejected, 5
+	// for one that it ejected as silent.
 	Phase      uint8
 	WorkMicros int64
 	Parts      []uint64
@@ -116,6 +117,7 @@
 	phaseDecode  = 2
 	phaseBlocked = 3
 	phaseEjected = 4
+	phaseSilent  = 5
 )
 
 // Options configure a Share.
@@ -129,8 +131,9 @@
 	Observe func(service string, sent placement.Sent)
 	// Blocked receives the engines that take no work for a time.
 	Blocked func(service, engine string, d time.Duration)
-	// Ejected receives the endpoints that other hosts have ejected.
-	Ejected func(service, endpoint, host string)
+	// Ejected receives the endpoints that other hosts have ejected; silent ones could
+	// not be reached.
+	Ejected func(endpoint, host string, silent bool)
 	// Followed returns how far this host has followed the topics whose reads the
 	// store answers; Told is given the same of another host, Offer a page that it
 	// has read.
@@ -234,8 +237,12 @@
 }
 
 // Eject tells the other hosts that this one has ejected an endpoint.
-func (s *Share) Eject(service, endpoint string) {
-	s.enqueue(report{Service: service, Engine: endpoint, Phase: phaseEjected})
+func (s *Share) Eject(service, endpoint string, silent bool) {
+	r := report{Service: service, Engine: endpoint, Phase: phaseEjected}
+	if silent {
+		r.Phase = phaseSilent
+	}
+	s.enqueue(r)
 }
 
 func (s *Share) enqueue(r report) {
@@ -473,8 +480,8 @@
 		case phaseBlocked:
 			s.opts.Blocked(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
-		case phaseEjected:
-			s.opts.Ejected(r.Service, r.Engine, m.Host)
+		case phaseEjected, phaseSilent:
+			s.opts.Ejected(r.Engine, m.Host, r.Phase == phaseSilent)
 			continue
 		}
 		sent := placement.Sent{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"reflect"
 	"slices"
@@ -40,9 +41,11 @@
 	}
 	n := &node{conn: conn, blocked: map[string]time.Duration{}}
 	n.share = New(Options{Host: name, Conn: conn, Log: logging.Discard(),
-		Observe:  func(_ string, s placement.Sent) { n.note(func() { n.sends = append(n.sends, s) }) },
-		Blocked:  func(_, engine string, d time.Duration) { n.note(func() { n.blocked[engine] = d }) },
-		Ejected:  func(_, endpoint, _ string) { n.note(func() { n.ejected = append(n.ejected, endpoint) }) },
+		Observe: func(_ string, s placement.Sent) { n.note(func() { n.sends = append(n.sends, s) }) },
+		Blocked: func(_, engine string, d time.Duration) { n.note(func() { n.blocked[engine] = d }) },
+		Ejected: func(endpoint, host string, silent bool) {
+			n.note(func() { n.ejected = append(n.ejected, fmt.Sprintf("%s of %s, %t", endpoint, host, silent)) })
+		},
 		Accept:   func(f []usage.Flush) { n.note(func() { n.flushes = append(n.flushes, f...) }) },
 		Followed: func() map[string]Progress { return map[string]Progress{"t": {Next: 7, AgeMillis: 900}} },
 		Told:     func(p map[string]Progress) { n.note(func() { n.told = p }) },
@@ -98,14 +101,15 @@
 	sent := placement.Sent{EngineID: "e1", Role: endpoint.RoleDecode, WorkMicros: 1500, Parts: []placement.Part{{ID: 1 << 63, Tokens: 600}, {ID: 2, Tokens: 300}}}
 	a.share.Report("llm", sent)
 	a.share.Block("llm", "e2", 3*time.Second)
-	a.share.Eject("llm", "e3")
+	a.share.Eject("llm", "e3", true)
+	a.share.Eject("llm", "e4", false)
 	if err := a.share.Hand([]string{"b"}, 2, []usage.Flush{{Incarnation: "a/1", Window: 5, Sequence: 2, Teams: map[string]usage.Counts{"acme": {Requests: 3}}}}); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "all reports", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && slices.Equal(b.ejected, []string{"e3"}) && b.told["t"].Next == 7 && b.told["t"].AgeMillis == 900
+		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && slices.Equal(b.ejected, []string{"e3 of a, true", "e4 of a, false"}) && b.told["t"].Next == 7 && b.told["t"].AgeMillis == 900
 	})
 	if !reflect.DeepEqual(b.sends[0], sent) || b.flushes[0].Teams["acme"].Requests != 3 {
 		t.Errorf("got %+v and %+v", b.sends[0], b.flushes[0])
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -122,7 +122,7 @@
 	Ejected, DomainEjected bool
 }
 
-// Failed notes a failure.
+// Failed notes a failure of this host's own request.
 func (t *Tracker) Failed(m fleet.Member, severity Severity, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -154,14 +154,13 @@
 	r.ejections++
 }
 
-// Heard notes that another host has ejected the endpoint, one of those of a service.
-// spread, from 0 to 1, lengthens the
-// ejection by up to heardMargin more, so that the hosts do not try the endpoint again
-// at the same time.
-func (t *Tracker) Heard(m fleet.Member, endpoints []fleet.Member, spread float64, now time.Time) Verdict {
+// Heard notes that another host has ejected the endpoint, one of those of a service,
+// after a failure of the severity. spread, from 0 to 1, lengthens the ejection by up
+// to heardMargin more, so that the hosts do not try the endpoint again at once.
+func (t *Tracker) Heard(m fleet.Member, severity Severity, endpoints []fleet.Member, spread float64, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := Verdict{DomainEjected: t.domain(m.Domain).fell(m.ID, false, now)}
+	v := Verdict{DomainEjected: severity == Silent && t.domain(m.Domain).fell(m.ID, false, now)}
 	r := t.record(m.ID)
 	if now.Before(r.until) || now.Sub(r.succeededAt) < provenFor || !t.believable(endpoints, now) {
 		return v
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -86,7 +86,7 @@
 				lost++
 				if tr.Failed(id, Silent, now).Ejected {
 					for _, other := range trackers {
-						other.Heard(id, ids, 0.5, now)
+						other.Heard(id, Silent, ids, 0.5, now)
 					}
 				}
 			}
@@ -108,7 +108,7 @@
 	other, now := NewTracker(), start
 	for _, m := range all {
 		now = now.Add(100 * time.Millisecond)
-		other.Heard(m, all, 0, now)
+		other.Heard(m, Silent, all, 0, now)
 	}
 	ejected := 0
 	for _, m := range all {
@@ -128,10 +128,10 @@
 	tr := NewTracker()
 	tr.Succeeded(at("a"), start)
 	soon, later := start.Add(100*time.Millisecond), start.Add(2*time.Second)
-	if tr.Heard(at("a"), all, 0, soon).Ejected || tr.Suspect(at("a"), soon) {
+	if tr.Heard(at("a"), Silent, all, 0, soon).Ejected || tr.Suspect(at("a"), soon) {
 		t.Error("an endpoint that has just answered is ejected by another host's word")
 	}
-	if !tr.Heard(at("a"), all, 0, later).Ejected {
+	if !tr.Heard(at("a"), Silent, all, 0, later).Ejected {
 		t.Error("an endpoint that answered two seconds ago is not ejected")
 	}
 }
@@ -184,10 +184,17 @@
 func TestHearsayEjectsNoDomain(t *testing.T) {
 	tr := NewTracker()
 	for i := range 10 {
-		if tr.Heard(in(fmt.Sprintf("e-%d", i), "d"), nil, 0, start).DomainEjected {
+		if tr.Heard(in(fmt.Sprintf("e-%d", i), "d"), Silent, nil, 0, start).DomainEjected {
 			t.Fatal("the domain is ejected by the words of others alone")
 		}
 	}
+	erratic := NewTracker()
+	for i := range 10 {
+		erratic.Heard(in(fmt.Sprintf("e-%d", i), "d"), Erratic, nil, 0, start)
+	}
+	if erratic.Failed(in("e-11", "d"), Silent, start).DomainEjected {
+		t.Error("endpoints that answer with failures count as silent")
+	}
 	if !tr.Failed(in("e-11", "d"), Silent, start).DomainEjected {
 		t.Error("an own silent endpoint beside many that others found does not eject the domain")
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -51,7 +51,7 @@
 	// Known is closed once the configuration and the endpoints have been read.
 	Known <-chan struct{}
 	// OnEjected is told of each endpoint that is ejected, for the other hosts.
-	OnEjected func(m fleet.Member)
+	OnEjected func(m fleet.Member, severity outlier.Severity)
 	// OnSent is told of each send of model work, for the other hosts.
 	OnSent func(service string, sent placement.Sent)
 	// OnRun is told of each request that an endpoint began to run.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -108,6 +108,6 @@
 	}
 	if verdict.Ejected {
 		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
-		h.OnEjected(m)
+		h.OnEjected(m, severity)
 	}
 }
