relay: failures of streams are told as well; engines that hang are ejected

An ejection after an answer of 5xx was neither logged nor told to the other hosts. An engine that took a request and answered nothing was not judged at all where the request may be sent once only: it ends with its caller.

--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -101,7 +101,7 @@
 		return nil, nil, err
 	}
 	if answer.Status >= 500 {
-		h.Outliers.Failed(m, outlier.Erratic, time.Now())
+		h.failed(m, outlier.Erratic, statusError(answer))
 	} else {
 		h.Outliers.Succeeded(m, time.Now())
 	}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -31,6 +31,11 @@
 
 func (e *notRunError) Error() string { return "endpoint " + e.endpoint + " did not run the request" }
 
+// statusError describes the failure that an endpoint answered with.
+func statusError(answer *upstream.Answer) error {
+	return errors.Errorf("the endpoint answered %d", answer.Status)
+}
+
 // certainlyNotRun reports whether err proves that the request did not run.
 func certainlyNotRun(err error) bool {
 	var refused *notRunError
@@ -53,8 +58,14 @@
 		Fields: h.Codec.Fields(&x.call, send), Body: x.call.Body,
 		HeadLimit: headLimit, Fresh: fresh,
 	}
+	sentAt := time.Now()
 	answer, err := h.Client.Do(x.work, m.Address, req)
 	if err != nil {
+		if send.Phase == Generate && x.work.Err() != nil && time.Since(sentAt) >= silenceLimit {
+			// Callers leave before an engine that hangs has failed; it would never be
+			// ejected for requests that may be sent once only.
+			h.failed(m, outlier.Unanswering, err)
+		}
 		h.judge(x, m, err)
 		return nil, err
 	}
@@ -102,7 +113,12 @@
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalPause))
 		return
 	}
-	verdict := h.Outliers.Failed(m, severity, now)
+	h.failed(m, severity, err)
+}
+
+// failed notes a failure of the endpoint.
+func (h *Handler) failed(m fleet.Member, severity outlier.Severity, err error) {
+	verdict := h.Outliers.Failed(m, severity, time.Now())
 	if verdict.DomainEjected {
 		h.Log.WithField("domain", m.Domain).WithField("endpoint", m.ID).WithError(err).Warn("domain_ejected")
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -133,7 +133,7 @@
 	body, err := s.answer.ReadAll(maxAnswerBytes)
 	g.h.began(g.x)
 	if s.answer.Status >= 500 {
-		g.h.Outliers.Failed(s.member, outlier.Erratic, time.Now())
+		g.h.failed(s.member, outlier.Erratic, statusError(s.answer))
 	}
 	s.close(placement.Failed)
 	if err != nil {
