--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -173,9 +173,15 @@
 	h.noteKnown()
 }
 
+// knowsDeployment reports whether the configuration and the endpoints have been read.
+func (h *Host) knowsDeployment() bool {
+	_, err := h.routes.Current()
+	return err == nil && h.endpointsKnown.Load()
+}
+
 // noteKnown lets the requests in that came before the store was read.
 func (h *Host) noteKnown() {
-	if _, err := h.routes.Current(); err == nil && h.endpointsKnown.Load() {
+	if h.knowsDeployment() {
 		h.knownOnce.Do(func() { close(h.known) })
 	}
 }
