--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -31,7 +31,7 @@
 	// which a configuration must be in force.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
-	// maxDoublings is how often the delay, or the grace of a read, doubles at most.
+	// maxDoublings is how often the delay doubles, at most.
 	maxDoublings = 8
 	// readGrace is added to the wait of a read before it is given up.
 	readGrace = 700 * time.Millisecond
@@ -137,7 +137,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancel != nil && time.Since(f.began) >= min(longestGrace, behindGrace<<min(f.interruptions, maxDoublings)) {
+	if f.cancel != nil && time.Since(f.began) >= min(longestGrace, behindGrace<<min(f.interruptions, 8)) {
 		f.interrupted = true
 		f.interruptions++
 		f.cancel()
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -260,9 +260,9 @@
 // endpoints that come or go at once, at a host with a narrow link.
 func (s *Share) Publish(topic string, from int64, page keyedlog.Page) {
 	addresses := s.addresses()
-	followed, parts := s.opts.Followed(), cutPage(topic, from, page)
+	parts := cutPage(topic, from, page)
 	for i, part := range parts {
-		data, err := cbor.Marshal(message{Host: s.opts.Host, Followed: followed, Pages: []sharedPage{part}})
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Followed: s.opts.Followed(), Pages: []sharedPage{part}})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("page_not_encoded")
 			return
@@ -417,10 +417,10 @@
 	queue := s.queue
 	s.queue = nil
 	s.mu.Unlock()
-	addresses, followed := s.addresses(), s.opts.Followed()
+	addresses := s.addresses()
 	for first := true; first || len(queue) > 0; first = false {
 		n := min(len(queue), maxDatagramBytes/sendBytes)
-		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Followed: followed})
+		data, err := cbor.Marshal(message{Host: s.opts.Host, Reports: queue[:n], Followed: s.opts.Followed()})
 		if err != nil {
 			s.opts.Log.WithError(err).Error("load_report_not_encoded")
 			return
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -173,15 +173,9 @@
 	h.noteKnown()
 }
 
-// knowsDeployment reports whether the configuration and the endpoints have been read.
-func (h *Host) knowsDeployment() bool {
-	_, err := h.routes.Current()
-	return err == nil && h.endpointsKnown.Load()
-}
-
 // noteKnown lets the requests in that came before the store was read.
 func (h *Host) noteKnown() {
-	if h.knowsDeployment() {
+	if _, err := h.routes.Current(); err == nil && h.endpointsKnown.Load() {
 		h.knownOnce.Do(func() { close(h.known) })
 	}
 }
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -21,14 +21,20 @@
 
 // serveMetrics answers requests for the metrics until the listener closes.
 func (h *Host) serveMetrics(l net.Listener) {
-	h.serveChecks(l, "metrics_listener_failed", func(ctx *fasthttp.RequestCtx) {
-		if string(ctx.Path()) != MetricsPath {
-			ctx.SetStatusCode(404)
-			return
-		}
-		ctx.SetContentType("text/plain; charset=utf-8")
-		ctx.SetBodyString(h.metricsText())
-	})
+	server := &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) != MetricsPath {
+				ctx.SetStatusCode(404)
+				return
+			}
+			ctx.SetContentType("text/plain; charset=utf-8")
+			ctx.SetBodyString(h.metricsText())
+		},
+		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, Logger: quietLogger{},
+	}
+	if err := server.Serve(l); err != nil && !h.draining.Load() {
+		h.log.WithError(err).Error("metrics_listener_failed")
+	}
 }
 
 // metricsText renders the metrics: a name and a value in each line.
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -20,26 +20,27 @@
 
 // serveReady answers readiness checks until the listener closes.
 func (h *Host) serveReady(l net.Listener) {
-	h.serveChecks(l, "readiness_listener_failed", func(ctx *fasthttp.RequestCtx) {
-		if !h.ready() {
-			ctx.SetStatusCode(503)
-		}
-	})
-}
-
-// serveChecks answers requests of the operators' machines until the listener closes.
-// If it fails before the host drains, the message is logged.
-func (h *Host) serveChecks(l net.Listener, failed string, handler fasthttp.RequestHandler) {
 	server := &fasthttp.Server{
-		Handler: handler, ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, Logger: quietLogger{},
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if !h.ready() {
+				ctx.SetStatusCode(503)
+			}
+		},
+		ReadTimeout: requestReadTime, IdleTimeout: callerIdleTime, NoDefaultServerHeader: true, Logger: quietLogger{},
 	}
 	if err := server.Serve(l); err != nil && !h.draining.Load() {
-		h.log.WithError(err).Error(failed)
+		h.log.WithError(err).Error("readiness_listener_failed")
 	}
 }
 
 // ready reports whether the host takes new connections.
-func (h *Host) ready() bool { return !h.draining.Load() && h.knowsDeployment() }
+func (h *Host) ready() bool {
+	if h.draining.Load() || !h.endpointsKnown.Load() {
+		return false
+	}
+	_, err := h.routes.Current()
+	return err == nil
+}
 
 // drain ends the service without cutting a request: the host reports that it is
 // not ready, asks callers to close their connections with the next answer, goes
