Lease: clearance by time where receivers ignore fencing tokens

Orders for endpoints and roles did not wait at all.

Change: Options.OrderLifetime bounds how late an order can arrive after its term; Check and Begin wait for it, and for a lease duration if the host held the lease before another host. Orders end with their term, and abandoned connections are reset. The deadline of a steady clock is no longer set on connections, which compare it with the system clock.

--- a/pkg/lease/doc.go
+++ b/pkg/lease/doc.go
@@ -16,6 +16,8 @@
 //   - The offset of the accepted claim is the fencing token.
 //   - Uncleared lists the earlier holders that may still have an order in
 //     transit.
+//   - With Options.OrderLifetime, Check fails until the orders of earlier terms can
+//     no longer arrive, and two hosts do not take turns within a lease duration.
 //   - A release is written only when no Use of this process is open.
 //
 // A view that starts after truncated records does not know the state of a key.
--- a/pkg/lease/fold.go
+++ b/pkg/lease/fold.go
@@ -36,6 +36,12 @@
 	termEnded bool
 	// predecessors are the uncleared earlier terms.
 	predecessors []Term
+	// termSince is the local time at which this view learned of the term. Every
+	// earlier term had ended by then.
+	termSince time.Time
+	// supersededAt is, by host, the local time at which the term of another host
+	// replaced the last term of the host.
+	supersededAt map[string]time.Time
 	// lastRecord is the offset of the last record of the key in this view,
 	// accepted or not, or none.
 	lastRecord int64
@@ -151,11 +157,15 @@
 
 // adopt sets the state to that of an accepted claim or renewal.
 func (l *lease) adopt(rec decodedRecord, now time.Time) {
+	previous, wasHeld := l.term, l.held
 	l.known, l.held, l.termEnded = true, true, false
 	l.term = rec.body.Term
 	if rec.kind == kindClaim {
 		l.term.Fence = rec.offset
 	}
+	if !wasHeld || previous.Fence != l.term.Fence {
+		l.beginTerm(previous, wasHeld, now)
+	}
 	l.lastAccepted, l.lastAcceptedAt = rec.offset, now
 	l.predecessors = rec.body.Predecessors
 }
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -41,7 +41,13 @@
 	truncate bool
 	// faultsOnHostAOnly limits the log faults to host a.
 	faultsOnHostAOnly bool
-	disabled          disabledGuards
+	// orderLifetime is Options.OrderLifetime. An order then arrives up to that
+	// time after it was sent, and is sent before the end of its term only.
+	orderLifetime time.Duration
+	// rolling stops and restarts one host after the other, with a release, and
+	// causes no other faults.
+	rolling  bool
+	disabled disabledGuards
 }
 
 type order struct {
@@ -51,13 +57,21 @@
 
 // receiver records every order that arrives, with its position as the time.
 type receiver struct {
-	mu     sync.Mutex
-	orders []porcupine.Operation
+	mu       sync.Mutex
+	orders   []porcupine.Operation
+	arrivals []arrival
 }
 
-func (r *receiver) apply(g Grant) {
+// arrival is the time at which an order of a host arrived.
+type arrival struct {
+	host string
+	at   time.Time
+}
+
+func (r *receiver) apply(host string, g Grant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, arrival{host, time.Now()})
 	at := int64(len(r.orders)) * 2
 	r.orders = append(r.orders, porcupine.Operation{Input: order{g.Holder, g.Fence}, Call: at, Return: at + 1})
 }
@@ -72,6 +86,25 @@
 	},
 }
 
+// tookTurns reports whether an order of one host, one of another host and one of
+// the first host arrived within d.
+func tookTurns(arrivals []arrival, d time.Duration) bool {
+	last := map[string]time.Time{}
+	before := map[string]time.Time{} // last order before one of another host
+	for _, a := range arrivals {
+		if at, ok := before[a.host]; ok && a.at.Sub(at) < d {
+			return true
+		}
+		for host, at := range last {
+			if host != a.host {
+				before[host] = at
+			}
+		}
+		last[a.host] = a.at
+	}
+	return false
+}
+
 // countingClock counts the waits whose duration is not positive. Under the race
 // detector, the runtime crashes when two goroutines of a synctest bubble receive
 // from expired timers at once.
@@ -158,7 +191,7 @@
 	p.m = newManager(Options{
 		Client: f, Clock: countingClock{clock, &sim.expiredWaits}, Rand: rand.New(rand.NewSource(sim.random.Int63())),
 		Incarnation: fmt.Sprintf("%s.%d", host, sim.starts), Host: host, Address: host + ":1",
-		Keys: []Key{testKey}, HostAbsentFor: sim.absentFor, HostListLag: hostListLag,
+		Keys: []Key{testKey}, HostAbsentFor: sim.absentFor, HostListLag: hostListLag, OrderLifetime: sim.s.orderLifetime,
 	}, sim.s.disabled, func(string) { time.Sleep(randomPause(sim.s.maxPauseBeforeAppend)) })
 	sim.processes = append(sim.processes, p)
 	for range 3 { // orders in flight at the same time
@@ -189,10 +222,74 @@
 		return
 	}
 	time.Sleep(randomPause(sim.s.maxPauseBeforeSend))
+	if sim.s.orderLifetime > 0 {
+		sim.transmit(p, grant, randomPause)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.dead {
-		sim.receiver.apply(grant)
+		sim.receiver.apply(p.host, grant)
+	}
+}
+
+// transmit delivers an order after a random delay. A process that is killed in the
+// meantime does not stop it.
+func (sim *simulation) transmit(p *process, grant Grant, randomPause func(time.Duration) time.Duration) {
+	ctx, cancel := grant.Context(context.Background(), clockwork.NewRealClock(), 2*time.Second)
+	defer cancel()
+	p.mu.Lock()
+	dead := p.dead
+	p.mu.Unlock()
+	if ctx.Err() == nil && !dead {
+		time.Sleep(randomPause(sim.s.orderLifetime))
+		sim.receiver.apply(p.host, grant)
+	}
+}
+
+// disturb kills, replaces and stops processes and cuts them off at random times. It
+// returns the processes that run at the end.
+func (sim *simulation) disturb(procs []*process) []*process {
+	for step := range 12 {
+		time.Sleep(time.Duration(sim.random.Int63n(int64(20 * time.Second))))
+		n := sim.random.Intn(len(procs))
+		switch sim.random.Intn(5) {
+		case 0: // the process is killed and restarted on its host
+			procs[n].kill()
+			procs[n] = sim.start(procs[n].host)
+		case 1: // the host is replaced
+			procs[n].kill()
+			sim.leave(procs[n].host)
+			procs[n] = sim.start(fmt.Sprint("host", step))
+		case 2: // the log is down for one host, at times longer than a lease
+			f := sim.faults[sim.random.Intn(len(sim.faults))]
+			f.SetDown(true)
+			time.Sleep(time.Duration(sim.random.Int63n(int64(30 * time.Second))))
+			f.SetDown(false)
+		case 3: // planned stop
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			_ = procs[n].m.Release(ctx, testKey)
+			cancel()
+		case 4:
+			if sim.s.truncate {
+				sim.mem.TruncateOlderThan(time.Now().Add(-time.Duration(sim.random.Int63n(int64(4 * time.Second)))))
+				procs = append(procs, sim.start(fmt.Sprint("late", step)))
+			}
+		}
+	}
+	return procs
+}
+
+// roll stops and restarts one process after the other, with a release.
+func (sim *simulation) roll(procs []*process) {
+	for range 12 {
+		time.Sleep(time.Duration(sim.random.Int63n(int64(8 * time.Second))))
+		n := sim.random.Intn(len(procs))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_ = procs[n].m.Release(ctx, testKey)
+		cancel()
+		procs[n].kill()
+		procs[n] = sim.start(procs[n].host)
 	}
 }
 
@@ -206,32 +303,10 @@
 			time.Sleep(time.Minute) // host a holds the lease first
 		}
 		procs = append(procs, sim.start("b"), sim.start("c"))
-		for step := range 12 {
-			time.Sleep(time.Duration(sim.random.Int63n(int64(20 * time.Second))))
-			n := sim.random.Intn(len(procs))
-			switch sim.random.Intn(5) {
-			case 0: // the process is killed and restarted on its host
-				procs[n].kill()
-				procs[n] = sim.start(procs[n].host)
-			case 1: // the host is replaced
-				procs[n].kill()
-				sim.leave(procs[n].host)
-				procs[n] = sim.start(fmt.Sprint("host", step))
-			case 2: // the log is down for one host, at times longer than a lease
-				f := sim.faults[sim.random.Intn(len(sim.faults))]
-				f.SetDown(true)
-				time.Sleep(time.Duration(sim.random.Int63n(int64(30 * time.Second))))
-				f.SetDown(false)
-			case 3: // planned stop
-				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-				_ = procs[n].m.Release(ctx, testKey)
-				cancel()
-			case 4:
-				if s.truncate {
-					sim.mem.TruncateOlderThan(time.Now().Add(-time.Duration(sim.random.Int63n(int64(4 * time.Second)))))
-					procs = append(procs, sim.start(fmt.Sprint("late", step)))
-				}
-			}
+		if s.rolling {
+			sim.roll(procs)
+		} else {
+			procs = sim.disturb(procs)
 		}
 		for _, p := range procs {
 			p.stop()
@@ -247,7 +322,11 @@
 	if n := sim.expiredWaits.Load(); n > 0 {
 		t.Errorf("seed %d: %d waits had a duration of zero or less", seed, n)
 	}
-	return !porcupine.CheckOperations(authorityModel, sim.receiver.orders), len(sim.receiver.orders)
+	violation = !porcupine.CheckOperations(authorityModel, sim.receiver.orders)
+	if s.orderLifetime > 0 {
+		violation = violation || tookTurns(sim.receiver.arrivals, DefaultDuration)
+	}
+	return violation, len(sim.receiver.orders)
 }
 
 var (
@@ -256,6 +335,9 @@
 	paused    = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, maxPauseBeforeSend: 90 * time.Second}
 	slow      = schedule{rates: faultlog.Rates{Slow: .6, MaxDelay: 40 * time.Second}, faultsOnHostAOnly: true, maxPauseBeforeAppend: 20 * time.Second}
 	truncated = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, truncate: true}
+	bounded   = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, orderLifetime: 4 * time.Second, truncate: true}
+	rolling   = schedule{orderLifetime: 10 * time.Second, rolling: true}
+	turns     = schedule{orderLifetime: 100 * time.Millisecond, rolling: true}
 	both      = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, truncate: true, maxPauseBeforeSend: 90 * time.Second}
 )
 
@@ -263,7 +345,7 @@
 // arrives after one of a later term. It runs every kind of schedule with all
 // guards.
 func TestReceiverSeesOneAuthority(t *testing.T) {
-	for name, s := range map[string]schedule{"timing": timing, "slow": slow, "paused": paused, "truncated": truncated, "both": both} {
+	for name, s := range map[string]schedule{"timing": timing, "slow": slow, "paused": paused, "truncated": truncated, "bounded": bounded, "rolling": rolling, "turns": turns, "both": both} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			total := 0
@@ -294,6 +376,8 @@
 		"care with a truncated view":    {truncated, disabledGuards{trustTruncated: true}},
 		"clearance":                     {paused, disabledGuards{noClearance: true}},
 		"no release while in use":       {paused, disabledGuards{releaseInUse: true}},
+		"clearance by time":             {rolling, disabledGuards{noClearance: true}},
+		"pause between two turns":       {turns, disabledGuards{noTurnPause: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -378,6 +462,76 @@
 	}
 }
 
+// TestSuccessorActsWithoutProof guards against duties that nobody performs any
+// more after their holder was lost. Its receivers ignore fencing tokens, and the
+// holder gives no proof that its orders have ended: it is killed for good, paused,
+// cut off from the log, or its host comes back at another address.
+func TestSuccessorActsWithoutProof(t *testing.T) {
+	const duration, margin, lifetime = 3 * time.Second, 700 * time.Millisecond, 300 * time.Millisecond
+	// The holder may have renewed just before it was lost. The rest is for the
+	// claim's spread and for reading the stream.
+	const bound = duration + margin + lifetime + 1500*time.Millisecond
+	newHost := func(mem *logservice.Memory, name, address string, seed int64) (*Manager, *faultlog.Client) {
+		clock := clockwork.NewRealClock()
+		f := faultlog.New(mem, clock, rand.New(rand.NewSource(seed)), faultlog.Rates{})
+		return New(Options{Client: f, Clock: clock, Rand: rand.New(rand.NewSource(seed)), Incarnation: name + "/" + address, Host: name, Address: address, Keys: []Key{testKey},
+			HostAbsentFor: func(string) time.Duration { return 0 }, Duration: duration, Margin: margin, OrderLifetime: lifetime,
+			ClaimSpread: 300 * time.Millisecond, ReadOptions: logservice.ReadOptions{MinInterval: 400 * time.Millisecond, MaxBackoff: 400 * time.Millisecond}}), f
+	}
+	for name, lose := range map[string]func(mem *logservice.Memory, a *Manager, fa *faultlog.Client){
+		"killed":  func(_ *logservice.Memory, a *Manager, _ *faultlog.Client) { a.Close() },
+		"cut off": func(_ *logservice.Memory, _ *Manager, fa *faultlog.Client) { fa.SetDown(true) },
+		"at another address": func(mem *logservice.Memory, a *Manager, _ *faultlog.Client) {
+			a.Close()
+			again, f := newHost(mem, "a", "a:2", 77)
+			t.Cleanup(func() { _ = again; _ = f })
+			go func() { time.Sleep(time.Minute); again.Close(); f.Close() }()
+		},
+		"paused with an open order": func(_ *logservice.Memory, a *Manager, fa *faultlog.Client) {
+			if _, err := a.Begin(testKey); err != nil {
+				t.Error(err)
+			}
+			fa.SetDown(true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, seed := range faultlog.Seeds(seedEnv, 20) {
+				synctest.Test(t, func(t *testing.T) {
+					mem := logservice.NewMemory(clockwork.NewRealClock())
+					a, fa := newHost(mem, "a", "a:1", seed)
+					time.Sleep(10 * time.Second)
+					b, fb := newHost(mem, "b", "b:1", seed+100)
+					time.Sleep(5*time.Second + time.Duration(seed)*73*time.Millisecond)
+					if _, err := a.Check(testKey); err != nil {
+						t.Errorf("%s=%d: host a does not hold the lease: %v", seedEnv, seed, err)
+					}
+					lose(mem, a, fa)
+					lostAt := time.Now()
+					for time.Since(lostAt) < 30*time.Second {
+						if _, err := b.Check(testKey); err == nil {
+							break
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+					took := time.Since(lostAt)
+					if left := b.Uncleared(testKey, nil); len(left) > 0 {
+						t.Errorf("%s=%d: %v after the loss, %d earlier terms are not cleared", seedEnv, seed, took, len(left))
+					}
+					if name != "at another address" && took > bound {
+						t.Errorf("%s=%d: the successor acts %v after the loss, want at most %v", seedEnv, seed, took, bound)
+					}
+					time.Sleep(time.Minute)
+					for _, m := range []*Manager{a, b} {
+						m.Close()
+					}
+					fa.Close()
+					fb.Close()
+				})
+			}
+		})
+	}
+}
+
 // startedBy runs f and returns the processes that it started.
 func (sim *simulation) startedBy(f func()) []*process {
 	from := len(sim.processes)
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -48,6 +48,12 @@
 	// every answer of the host list. It returns zero if the host is listed or the
 	// host list does not answer. It must not call the manager.
 	HostAbsentFor func(host string) time.Duration
+	// OrderLifetime is the longest time after the end of a term for which an
+	// order of that term may still arrive at a receiver. If it is set, Check and
+	// Begin fail with ErrNotCleared until the orders of all earlier terms have
+	// arrived or been lost, and no other proof is needed (see clearance.go). Zero
+	// means that the time is not bounded.
+	OrderLifetime time.Duration
 	// Duration, Margin, HostListLag and ClaimSpread replace DefaultDuration,
 	// DefaultMargin, DefaultHostListLag and the constant ClaimSpread.
 	Duration    time.Duration
@@ -70,6 +76,12 @@
 	ValidUntil time.Time
 }
 
+// Context returns a context for sending one order under the grant. It ends after
+// the timeout, but not later than the term: a successor may send orders then.
+func (g Grant) Context(ctx context.Context, clock clockwork.Clock, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return clockwork.WithTimeout(ctx, clock, min(timeout, g.ValidUntil.Sub(clock.Now())))
+}
+
 // disabledGuards turns single safety mechanisms off. Tests use it to show that
 // each one is needed.
 type disabledGuards struct {
@@ -79,6 +91,7 @@
 	noWait            bool // challengers do not wait until the lease expires
 	trustTruncated    bool // a truncated view counts as complete
 	noClearance       bool // uncleared predecessors are ignored
+	noTurnPause       bool // a host may hold again at once after another host held
 	releaseInUse      bool // a release is written while uses are open
 }
 
@@ -221,7 +234,8 @@
 }
 
 // Check returns a grant if this process holds the lease now. It must be called
-// immediately before each order. Errors wrap ErrNotHolder or ErrExpired.
+// immediately before each order. Errors wrap ErrNotHolder, ErrExpired or
+// ErrNotCleared.
 func (m *Manager) Check(k Key) (Grant, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -241,6 +255,9 @@
 	if !valid && !m.disabled.noExpiry {
 		return Grant{}, errors.Wrap(ErrExpired, k.String())
 	}
+	if wait := m.clearanceWait(l, now); wait > 0 {
+		return Grant{}, errors.Wrapf(ErrNotCleared, "%s: for %v", k, wait)
+	}
 	return Grant{Key: k, Holder: m.opts.Incarnation, Fence: o.fence, ValidUntil: o.deadline}, nil
 }
 
@@ -257,6 +274,10 @@
 		return nil
 	}
 	m.mu.Lock()
+	if l := m.state.leaseOf(k); m.opts.OrderLifetime > 0 && m.clearanceWait(l, m.opts.Clock.Now()) <= 0 {
+		m.mu.Unlock()
+		return nil
+	}
 	predecessors := append([]Term(nil), m.state.leaseOf(k).predecessors...)
 	ownInFlight := map[int64]int{}
 	if o := m.ownLeases[k]; o != nil {
--- a/pkg/lease/records.go
+++ b/pkg/lease/records.go
@@ -86,6 +86,10 @@
 	// ErrExpired reports that this process was the last holder, but that its
 	// lease duration has passed without a folded renewal.
 	ErrExpired = errors.New("the lease has expired")
+	// ErrNotCleared reports that this process holds the lease, but that orders of
+	// earlier terms may still arrive, or that its host held the lease before
+	// another host within the lease duration.
+	ErrNotCleared = errors.New("orders of earlier lease holders may still arrive")
 	// ErrInUse reports a release that was not written because a use is still
 	// open.
 	ErrInUse = errors.New("an order under the lease is unanswered")
--- a/pkg/orders/sender.go
+++ b/pkg/orders/sender.go
@@ -279,7 +279,9 @@
 		use.Done()
 		return steperr.Wrap(err, "check lease", r.Name())
 	}
-	err = c.Send(sendCtx, id, grant.Holder, grant.Fence)
+	orderCtx, cancelOrder := grant.Context(sendCtx, s.opts.Clock, OrderTimeout)
+	defer cancelOrder()
+	err = c.Send(orderCtx, id, grant.Holder, grant.Fence)
 	var refused *RefusedError
 	if err == nil || errors.As(err, &refused) {
 		use.Done()
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -27,6 +27,11 @@
 	// the lease. The clocks of two hosts drift apart by less during a lease. A
 	// longer lease would leave a usage report undone when its holder is cut off.
 	leaseMargin = 700 * time.Millisecond
+	// orderLifetime is the longest time after the end of a lease for which an
+	// order of its holder can still arrive. A holder resets the connection of an
+	// order that is unanswered at the end of its lease, so that only data on the
+	// network is left.
+	orderLifetime = 300 * time.Millisecond
 	// maxCandidates is the number of hosts that compete for the lease. Several
 	// of them may be killed or cut off at once.
 	maxCandidates = 5
@@ -185,7 +190,7 @@
 		Client: d.stream, Clock: d.clock, Rand: rand.New(rand.NewSource(random.Int63())),
 		Incarnation: incarnation, Host: h.settings.Host, Address: h.settings.CallersAddr, Keys: []lease.Key{d.key},
 		LiveHosts: h.liveHosts, HostAbsentFor: func(string) time.Duration { return 0 },
-		Duration: h.settings.LeaseTime, Margin: leaseMargin, ClaimSpread: claimSpread, ReadOptions: streamReadOptions(leaseReadInterval), Log: h.log,
+		Duration: h.settings.LeaseTime, Margin: leaseMargin, OrderLifetime: orderLifetime, ClaimSpread: claimSpread, ReadOptions: streamReadOptions(leaseReadInterval), Log: h.log,
 	})
 	c.usage = usage.New(usage.Options{
 		Client: d.stream, Clock: d.clock, Rand: random, Incarnation: incarnation, LiveHosts: h.liveHosts,
--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -115,5 +115,7 @@
 	d.host.exchange.ReportBlock(m.Service, m.ID, roleChangeTime)
 	// The condition on the number of orders prevents an unanswered order from
 	// taking effect after a later one.
-	return d.platform.SetRole(ctx, m, to, report.Orders, Authority{Holder: grant.Holder, Fence: grant.Fence})
+	orderCtx, cancel := grant.Context(ctx, d.clock, orderTimeout)
+	defer cancel()
+	return d.platform.SetRole(orderCtx, m, to, report.Orders, Authority{Holder: grant.Holder, Fence: grant.Fence})
 }
--- a/pkg/relayhost/scale.go
+++ b/pkg/relayhost/scale.go
@@ -61,12 +61,18 @@
 
 func (d *duties) scale(ctx context.Context, candidacy *candidacy, service string, c capacity.TargetCount, now time.Time) {
 	fields := log.Fields{"service": service, "domain": c.Domain, "reclaimable": c.Reclaimable, "count": c.Count}
-	grant, err := candidacy.leases.Check(d.key)
+	use, err := candidacy.leases.Begin(d.key)
 	if err != nil {
 		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer use.Done()
+	grant, err := use.Check()
+	if err != nil {
+		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
+		return
+	}
+	ctx, cancel := grant.Context(ctx, d.clock, orderTimeout)
 	defer cancel()
 	err = d.platform.Scale(ctx, service, c, Authority{Holder: grant.Holder, Fence: grant.Fence})
 	kind := capacity.KindDurable
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -87,8 +87,9 @@
 }
 
 // Do sends a request and returns the answer once its head has been read. When ctx
-// ends before the answer is closed, the connection is closed, which cancels the
-// work at the peer. Errors name the step and the peer.
+// ends before the answer is closed, the connection is reset, which cancels the
+// work at the peer and drops what has not reached it. Errors name the step and the
+// peer.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Answer, error) {
 	cn, err := c.pool.get(ctx, address, req.NewConn)
 	if err != nil {
@@ -98,28 +99,29 @@
 		_ = cn.Close()
 		return nil, steperr.Wrap(&jsonhttp.NotSentError{Err: err}, "send request", address)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	answer, err := c.exchange(ctx, cn, req)
+	stop := context.AfterFunc(ctx, cn.abort)
+	answer, err := c.exchange(cn, req)
 	if err != nil {
 		stop()
 		_ = cn.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			err = errors.Wrap(cause, err.Error())
+		}
 		return nil, steperr.Wrap(err, "exchange", address)
 	}
 	answer.stopCtxWatch, answer.pool = stop, &c.pool
 	return answer, nil
 }
 
-// exchange sends a request on a connection and reads the head of the answer.
-func (c *Client) exchange(ctx context.Context, cn *conn, req *Request) (*Answer, error) {
-	deadline, bounded := ctx.Deadline()
-	if err := cn.SetDeadline(deadline); err != nil {
-		return nil, errors.Wrap(err, "set deadline")
-	}
+// exchange sends a request on a connection and reads the head of the answer. The
+// end of the request's context aborts the connection. Its deadline is not set on
+// the connection, because it may be the time of another clock than the system's.
+func (c *Client) exchange(cn *conn, req *Request) (*Answer, error) {
 	if _, err := cn.Write(req.encode()); err != nil {
 		return nil, errors.Wrap(err, "write request")
 	}
-	if headDeadline := time.Now().Add(req.HeadTimeout); req.HeadTimeout > 0 && (!bounded || headDeadline.Before(deadline)) {
-		if err := cn.SetReadDeadline(headDeadline); err != nil {
+	if req.HeadTimeout > 0 {
+		if err := cn.SetReadDeadline(time.Now().Add(req.HeadTimeout)); err != nil {
 			return nil, errors.Wrap(err, "set read deadline")
 		}
 	}
@@ -127,8 +129,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := cn.SetReadDeadline(deadline); err != nil {
-		return nil, errors.Wrap(err, "set deadline")
+	if err := cn.SetReadDeadline(time.Time{}); err != nil {
+		return nil, errors.Wrap(err, "reset read deadline")
 	}
 	return answer, nil
 }
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -248,3 +248,50 @@
 		_, _ = answer.ReadAll(1 << 16)
 	})
 }
+
+// otherClockContext has a deadline on another clock than the system's.
+type otherClockContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c otherClockContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// TestDeadlineOfAnotherClock guards against calls that fail at once after a step of
+// the system clock: the deadline of a call under a steady clock then seems past.
+func TestDeadlineOfAnotherClock(t *testing.T) {
+	address := startPeer(t, respondOnce("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	ctx := otherClockContext{context.Background(), time.Now().Round(0).Add(-4 * time.Second)}
+	_, body, err := newClient(t).Fetch(ctx, address, getRequest, 100)
+	if err != nil || string(body) != "ok" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
+
+// TestAbandonedBytesAreDropped guards against a request that reaches its peer after
+// its sender has given it up, such as when a network partition ends. A peer that
+// reads nothing stands for the partition.
+func TestAbandonedBytesAreDropped(t *testing.T) {
+	read := make(chan error, 1)
+	release := make(chan struct{})
+	address := startPeer(t, func(_ net.Conn, r *bufio.Reader) {
+		<-release
+		_, err := io.Copy(io.Discard, r)
+		read <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	request := &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 32<<20)}
+	if _, err := newClient(t).Do(ctx, address, request); err == nil {
+		t.Fatal("a request that was not read is answered")
+	}
+	close(release)
+	select {
+	case err := <-read:
+		if err == nil {
+			t.Error("the peer reads the rest of an abandoned request")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is still open")
+	}
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -26,6 +26,14 @@
 	readBufferBytes = 4096
 )
 
+// cancelOnly hides the deadline of a context, which still ends at it. The deadline
+// may be the time of another clock than the system's, with which a dialer would
+// compare it.
+type cancelOnly struct{ context.Context }
+
+// Deadline implements context.Context.
+func (cancelOnly) Deadline() (time.Time, bool) { return time.Time{}, false }
+
 type conn struct {
 	net.Conn
 	address string
@@ -56,6 +64,17 @@
 	}
 }
 
+// abort closes the connection with a reset. Bytes that wait in the send buffer,
+// such as during a network partition, are dropped instead of sent once the peer
+// can be reached again.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// If it fails, Close still closes the connection in order.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // stale reports whether the peer has closed the connection or sent bytes that
 // belong to no request.
 func (c *conn) stale() bool {
@@ -88,7 +107,7 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	nc, err := dialer(p.dialTimeout).DialContext(ctx, "tcp", address)
+	nc, err := dialer(p.dialTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
