Capacity: durable endpoints while a domain lacks its cheap ones

Cause: when a domain's reclaimable endpoints are reclaimed, the platform has none to give for 8 to 11 s, and a new one takes 4 s to start.

Change: under load, fewer than half of the wanted reclaimable endpoints bring the durable ones to half of the domain's limit, until the cheap ones are back.

--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -12,7 +12,8 @@
 //
 // It suits bursts that double the work within a second, while an ordered
 // endpoint takes seconds to start, and domains whose reclaimable endpoints are
-// reclaimed all at once.
+// reclaimed all at once. While a loaded domain lacks them, because they are leaving,
+// refused or starting, it has more durable ones.
 type FillReclaimable struct {
 	// Durable is the number of durable endpoints in each domain that is filled.
 	Durable int
@@ -21,6 +22,9 @@
 	MaxPriceRatio float64
 	// FillShare is the share of a domain's limit that is filled.
 	FillShare float64
+	// FallbackShare is the share of a domain's limit that is kept under load, with
+	// durable endpoints, while fewer than half of the reclaimable ones are live.
+	FallbackShare float64
 	// RetryAfter is the time after which a refused count is ordered again. A
 	// count that was not reached is ordered again after BootTime + RetryAfter.
 	RetryAfter time.Duration
@@ -30,7 +34,7 @@
 // doubling the endpoints costs less than what is lost if one second in ten is
 // slow.
 func DefaultFillReclaimable() FillReclaimable {
-	return FillReclaimable{Durable: 1, MaxPriceRatio: 0.4, FillShare: 1, RetryAfter: 3 * time.Second}
+	return FillReclaimable{Durable: 1, MaxPriceRatio: 0.4, FillShare: 1, FallbackShare: 0.5, RetryAfter: 3 * time.Second}
 }
 
 // Pool describes the endpoints of a service in one failure domain.
@@ -43,6 +47,8 @@
 	Baseline int
 	// Min and Max bound the number of endpoints of both kinds together.
 	Min, Max int
+	// Loaded is set while there is work for the endpoints.
+	Loaded bool
 	// Price is the price of a reclaimable endpoint relative to a durable one.
 	// It is zero if there are no reclaimable endpoints.
 	Price float64
@@ -84,6 +90,9 @@
 		if pool.Price > 0 && pool.Price <= p.MaxPriceRatio {
 			durable = p.Durable
 			reclaimable = max(0, int(p.FillShare*float64(pool.Max))-durable)
+			if pool.Loaded && pool.Reclaimable < reclaimable/2 {
+				durable = max(durable, int(p.FallbackShare*float64(pool.Max))-pool.Reclaimable)
+			}
 		}
 		durable = max(pool.Min, min(durable, pool.Max))
 		if p.due(pool, KindDurable, durable, pool.Durable, now) {
--- a/pkg/capacity/fill_test.go
+++ b/pkg/capacity/fill_test.go
@@ -38,6 +38,30 @@
 	}
 }
 
+// TestFillFallsBackToDurable replays the reclaim of a domain's cheap endpoints under
+// load, none of which are to be had again for seconds. It guards against a domain
+// that waits for them with a twelfth of its endpoints, and against durable
+// endpoints that are kept once the cheap ones are back.
+func TestFillFallsBackToDurable(t *testing.T) {
+	p := Pool{Domain: "d", Durable: 1, Reclaimable: 0, Min: 1, Max: 12, Price: 0.2, BootTime: 4 * time.Second, Loaded: true}
+	p.LastOrders[KindDurable] = LastOrder{Sent: true, Count: 1, At: fillStart}
+	p.LastOrders[KindReclaimable] = LastOrder{Sent: true, Count: 11, At: fillStart.Add(20 * time.Second), Refused: true}
+	now := fillStart.Add(21 * time.Second)
+	want := []TargetCount{{Domain: "d", Count: 6}}
+	if got := DefaultFillReclaimable().Decide([]Pool{p}, now); !reflect.DeepEqual(got, want) {
+		t.Errorf("after the reclaim: ordered %+v, want %+v", got, want)
+	}
+	p.Loaded = false
+	if got := DefaultFillReclaimable().Decide([]Pool{p}, now); len(got) > 0 {
+		t.Errorf("without load: ordered %+v", got)
+	}
+	p.Loaded, p.Durable, p.Reclaimable = true, 6, 11
+	want = []TargetCount{{Domain: "d", Count: 1}}
+	if got := DefaultFillReclaimable().Decide([]Pool{p}, now); !reflect.DeepEqual(got, want) {
+		t.Errorf("once the cheap ones are back: ordered %+v, want %+v", got, want)
+	}
+}
+
 // TestFillAfterReclaim guards against a domain whose reclaimed endpoints are
 // not ordered again, and against a new order in each decision.
 func TestFillAfterReclaim(t *testing.T) {
--- a/pkg/relayhost/scale.go
+++ b/pkg/relayhost/scale.go
@@ -14,6 +14,10 @@
 	"github.com/clementineshed/clementineshed/pkg/routes"
 )
 
+// minLoadedWork is the work of a service, in busy engines, from which on it counts as
+// loaded.
+const minLoadedWork = 0.1
+
 // decideCapacity decides on the number of endpoints of each service and orders
 // what is due.
 func (d *duties) decideCapacity(ctx context.Context, c *candidacy) {
@@ -27,18 +31,19 @@
 		if s.Scaling == nil {
 			continue
 		}
-		for _, count := range d.capacity.Decide(d.pools(s), now) {
+		for _, count := range d.capacity.Decide(d.pools(s, now), now) {
 			d.scale(ctx, c, s.Name, count, now)
 		}
 	}
 }
 
 // pools describes the service's endpoints by failure domain.
-func (d *duties) pools(s routes.Service) []capacity.Pool {
+func (d *duties) pools(s routes.Service, now time.Time) []capacity.Pool {
 	members := d.host.fleet.Members(s.Name)
+	work := d.host.models.For(s.Name).Work(now)
 	var pools []capacity.Pool
 	for _, domain := range slices.Sorted(maps.Keys(s.Scaling.DomainPrices)) {
-		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime}
+		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime, Loaded: work.Prefill+work.Decode > minLoadedWork}
 		for _, m := range members {
 			switch {
 			case m.Domain != domain || m.State == endpoint.StateLeaving:
