Roles: count the slots of decode engines, balance both phases

Cause: decode work was measured by the link alone. After a loss, engines that had joined as decode engines stayed idle for a cooldown of 15 s while prompts queued.

Change: a decode counts for the link or for its share of the slots, whichever is more; the time of a stream is measured. The division makes both phases equally busy at the peaks of the last 15 s, or at the present work if the fleet cannot carry both peaks. Admission counts the wait for a slot. A prefix is not copied from an ejected engine.

--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -47,7 +47,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	source, longest, pending := m.longestPrefix(job, now)
+	source, longest, pending := m.longestPrefix(job, health, now)
 	var best Choice
 	bestCost := time.Duration(-1)
 	for _, e := range candidates {
@@ -99,12 +99,16 @@
 
 // longestPrefix returns the live engine with the longest cached prefix of the
 // prompt, the number of tokens in it, and the number of tokens in the longest
-// prefix that any engine holds or is computing.
-func (m *Model) longestPrefix(job Job, now time.Time) (source *engine, longest, longestPending int) {
+// prefix that any live engine holds or is computing. A copy from an ejected engine
+// would hang or fail.
+func (m *Model) longestPrefix(job Job, health Health, now time.Time) (source *engine, longest, longestPending int) {
 	for _, e := range m.order {
 		ready, pending := e.cache.prefix(job.Parts, now)
+		if pending == 0 || e.member.State != endpoint.StateLive || health.Ejected(e.member, now) {
+			continue
+		}
 		longestPending = max(longestPending, pending)
-		if ready > longest && e.member.State == endpoint.StateLive {
+		if ready > longest {
 			source, longest = e, ready
 		}
 	}
@@ -153,10 +157,28 @@
 	return best, bestCost >= 0
 }
 
+// DecodeWait returns the expected time until a decode engine has a free slot. Each
+// engine frees a slot every streamTime divided by its slots.
+func (m *Model) DecodeWait(job Job, health Health, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	job.Exclude = nil
+	least := -1
+	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
+		if n := e.activeStreams(now); least < 0 || n < least {
+			least = n
+		}
+	}
+	excess := least + 1 - m.slots()
+	if excess <= 0 {
+		return 0
+	}
+	return m.streamTime * time.Duration(excess) / time.Duration(m.slots())
+}
+
 // slotPenalty grows with the square of the share of slots that are taken.
 func (m *Model) slotPenalty(e *engine, now time.Time) time.Duration {
-	slots := max(m.properties.Slots, 1)
-	taken := float64(e.activeStreams(now)) / float64(slots)
+	taken := float64(e.activeStreams(now)) / float64(m.slots())
 	return time.Duration(taken * taken * float64(fullSlotsPenalty))
 }
 
--- a/pkg/placement/meter.go
+++ b/pkg/placement/meter.go
@@ -13,17 +13,22 @@
 const meterTimeConstant = 2 * time.Second
 
 // workMeter is an exponentially weighted average of the work of both phases, in
-// busy engines. It is not safe for concurrent use.
+// busy engines. A decode occupies the engine's link and one of its slots; the links
+// limit engines with many slots, the slots those with few. It is not safe for
+// concurrent use.
 type workMeter struct {
-	prefill, decode float64
-	updatedAt       time.Time
+	prefill, decodeLink, decodeSlots float64
+	updatedAt                        time.Time
 }
 
-func (w *workMeter) add(role endpoint.Role, work time.Duration, now time.Time) {
+// add adds the work of a send. slotShare is the share of an engine's slots that a
+// decode takes, streamTime the time for which it takes them.
+func (w *workMeter) add(role endpoint.Role, work, streamTime time.Duration, slotShare float64, now time.Time) {
 	w.decay(now)
 	amount := work.Seconds() / meterTimeConstant.Seconds()
 	if role == endpoint.RoleDecode {
-		w.decode += amount
+		w.decodeLink += amount
+		w.decodeSlots += streamTime.Seconds() * slotShare / meterTimeConstant.Seconds()
 	} else {
 		w.prefill += amount
 	}
@@ -33,7 +38,8 @@
 	if elapsed := now.Sub(w.updatedAt); elapsed > 0 {
 		keep := math.Exp(-elapsed.Seconds() / meterTimeConstant.Seconds())
 		w.prefill *= keep
-		w.decode *= keep
+		w.decodeLink *= keep
+		w.decodeSlots *= keep
 		w.updatedAt = now
 	}
 }
@@ -44,5 +50,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.work.decay(now)
-	return roles.Work{Prefill: m.work.prefill, Decode: m.work.decode}
+	return roles.Work{Prefill: m.work.prefill, Decode: max(m.work.decodeLink, m.work.decodeSlots)}
 }
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -63,8 +63,8 @@
 	sentAt     time.Time
 	expectedAt time.Time
 	uncached   int
-	// engineIdle is set if no other work was known at the engine, so that the
-	// elapsed time measures the engine's speed.
+	// engineIdle is set if no other work was known at the engine, or, for a
+	// decode, if a slot was free, so that the elapsed time measures the engine.
 	engineIdle bool
 	// copyTime is the part of the work that is not prefill.
 	copyTime time.Duration
@@ -86,11 +86,14 @@
 	// all hosts break ties alike.
 	order []*engine
 	work  workMeter
+	// streamTime is the smoothed time for which a stream takes a slot. It is
+	// measured by this host's streams that found a free slot.
+	streamTime time.Duration
 }
 
 // NewModel returns a model without engines.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed()}
+	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), streamTime: defaultStreamTime}
 }
 
 // SetEngineProperties sets the declared properties of the engines. A CacheTokens
@@ -175,6 +178,9 @@
 		return s, report
 	}
 	s.engineIdle = len(e.inFlight) == 0 && c.Wait == 0
+	if role == endpoint.RoleDecode {
+		s.engineIdle = e.activeStreams(now) < m.slots()
+	}
 	s.addedParts = m.applySend(e, report, now)
 	e.inFlight[s] = struct{}{}
 	if role == endpoint.RoleDecode {
@@ -190,19 +196,27 @@
 	if e := m.engines[report.EngineID]; e != nil {
 		m.applySend(e, report, now)
 		if report.Role == endpoint.RoleDecode {
-			e.peerStreamEnds = append(e.peerStreamEnds, now.Add(peerStreamTime))
+			e.peerStreamEnds = append(e.peerStreamEnds, now.Add(m.streamTime))
 		}
 	}
 }
 
-// peerStreamTime is how long a stream of another host is assumed to run.
-const peerStreamTime = 400 * time.Millisecond
+const (
+	// defaultStreamTime is the assumed time of a stream until some have been
+	// measured. streamTimeGain is the weight of one measurement.
+	defaultStreamTime = 400 * time.Millisecond
+	streamTimeGain    = 0.05
+)
+
+// slots returns the number of requests that an engine decodes at once. It must be
+// called with mu held.
+func (m *Model) slots() int { return max(m.properties.Slots, 1) }
 
 // applySend adds a send to the engine's state and returns the IDs of the parts
 // that the engine did not hold before. It must be called with mu held.
 func (m *Model) applySend(e *engine, report SendReport, now time.Time) []uint64 {
 	work := time.Duration(report.WorkMicros) * time.Microsecond
-	m.work.add(report.Role, work, now)
+	m.work.add(report.Role, work, m.streamTime, 1/float64(m.slots()), now)
 	if report.Role == endpoint.RoleDecode {
 		e.linkFreeAt = later(e.linkFreeAt, now).Add(work)
 		return e.cache.add(report.Parts, e.linkFreeAt)
@@ -238,6 +252,9 @@
 	}
 	if s.role == endpoint.RoleDecode {
 		e.ownStreams = max(0, e.ownStreams-1)
+		if outcome == Completed && s.engineIdle {
+			m.streamTime += time.Duration(streamTimeGain * float64(now.Sub(s.sentAt)-m.streamTime))
+		}
 		return
 	}
 	if outcome != Completed {
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -98,12 +98,13 @@
 // admit refuses work whose first event is expected after the deadline or the
 // caller's timeout, and marks work that will miss its target as late.
 func (g *generation) admit(c placement.Choice) *refusal.Refusal {
-	expected := g.x.elapsed() + c.Expected() + firstEventLatency
+	wait := c.Expected() + g.model.DecodeWait(g.job, g.h.Outliers, time.Now()) + firstEventLatency
+	expected := g.x.elapsed() + wait
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
 	}
 	g.x.logFields["chosen"], g.x.logFields["wait_ms"], g.x.logFields["expected_ms"] = c.Engine.ID, c.Wait.Milliseconds(), c.Expected().Milliseconds()
-	excess := c.Expected() + firstEventLatency - min(g.x.remaining(), g.callerTimeout()-g.x.elapsed())
+	excess := wait - min(g.x.remaining(), g.callerTimeout()-g.x.elapsed())
 	if excess <= 0 {
 		return nil
 	}
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -124,7 +124,7 @@
 	clock    *steadyclock.Clock
 	key      lease.Key
 	counter  *usage.Counter
-	roles    roles.Policy
+	roles    roles.SplitRolePolicy
 	capacity capacity.FillReclaimable
 
 	mu sync.Mutex
@@ -132,6 +132,8 @@
 	candidacy *candidacy
 	// roleChanges holds the last role order of each engine; guarded by mu.
 	roleChanges map[string]roleChange
+	// peaks holds the peaks of each service's work. Only run uses it.
+	peaks map[string]*workPeaks
 	// lastOrders holds the last order for endpoints of each pool, maxDurable the
 	// largest number of durable endpoints seen in it. Only run uses them.
 	lastOrders map[poolKey]capacity.LastOrder
@@ -159,7 +161,7 @@
 // newDuties returns duties that already count usage; run performs the rest.
 func newDuties(h *Host, stream logservice.Client, platform Platform) *duties {
 	d := &duties{host: h, stream: stream, platform: platform, clock: steadyclock.New(), key: lease.Key{Duty: lease.Coordination},
-		roles: roles.DefaultSplitRolePolicy(), capacity: capacity.DefaultFillReclaimable(), roleChanges: map[string]roleChange{}, lastOrders: map[poolKey]capacity.LastOrder{}, maxDurable: map[poolKey]int{}}
+		roles: roles.DefaultSplitRolePolicy(), capacity: capacity.DefaultFillReclaimable(), roleChanges: map[string]roleChange{}, peaks: map[string]*workPeaks{}, lastOrders: map[poolKey]capacity.LastOrder{}, maxDurable: map[poolKey]int{}}
 	d.counter = usage.NewCounter(usage.CounterOptions{
 		Client: stream, Clock: d.clock, Incarnation: h.settings.Host + "/" + uuid.NewString(), LiveHosts: h.liveHosts, Peers: d,
 		Window: h.settings.UsageWindow, FlushInterval: usageForwardInterval, Log: h.log,
--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -38,7 +38,8 @@
 		}
 		roleChangeTime := s.Engine.RoleChangeTime
 		members := d.host.fleet.Members(s.Name)
-		in := roles.Input{Now: now, Work: d.host.models.For(s.Name).Work(now), Engines: d.engines(members, roleChangeTime, now)}
+		work := d.host.models.For(s.Name).Work(now)
+		in := roles.Input{Now: now, Work: work, Peak: d.peakWork(s.Name, work, now), Slots: s.Engine.Slots, Engines: d.engines(members, roleChangeTime, now)}
 		var wg sync.WaitGroup
 		for _, c := range d.roles.Decide(in) {
 			for _, m := range members {
@@ -51,6 +52,19 @@
 	}
 }
 
+// workPeaks holds the peaks of a service's work.
+type workPeaks struct{ prefill, decode roles.PeakHold }
+
+// peakWork returns the largest work of a service in the last cooldown.
+func (d *duties) peakWork(service string, work roles.Work, now time.Time) roles.Work {
+	p := d.peaks[service]
+	if p == nil {
+		p = &workPeaks{roles.PeakHold{Window: d.roles.Cooldown}, roles.PeakHold{Window: d.roles.Cooldown}}
+		d.peaks[service] = p
+	}
+	return roles.Work{Prefill: p.prefill.Observe(work.Prefill, now), Decode: p.decode.Observe(work.Decode, now)}
+}
+
 // engines describes the members to the role policy.
 func (d *duties) engines(members []fleet.Member, roleChangeTime time.Duration, now time.Time) []roles.Engine {
 	d.mu.Lock()
--- a/pkg/roles/roles.go
+++ b/pkg/roles/roles.go
@@ -33,6 +33,12 @@
 	Engines []Engine
 	// Work is the smoothed offered work of the whole fleet; see Meter.
 	Work Work
+	// Peak holds the largest work of each phase in the recent past, see PeakHold.
+	// Zero means that it is not known.
+	Peak Work
+	// Slots is the number of requests that one engine decodes at once; zero means
+	// that it is not known.
+	Slots int
 	// Domain restricts the changes to one failure domain; empty means all.
 	Domain string
 }
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -9,46 +9,76 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 )
 
-// SplitRolePolicy divides the engines between prefill and decode. It keeps a base
-// of decode engines and adds to them as the offered decode work grows. All others
-// prefill.
+// SplitRolePolicy divides the engines between prefill and decode such that both
+// phases are equally far from their limit. It keeps a base of decode engines.
 //
-// It suits prompts many times longer than outputs, so that nearly all engines
-// have to prefill, and a mix that changes faster than an engine's role can.
+// It suits prompts many times longer than outputs, so that most engines have to
+// prefill, and a mix that changes faster than an engine's role can. The division
+// therefore follows the peaks of both phases. When the fleet cannot carry both
+// peaks, such as after the loss of a failure domain, it follows the present work.
 type SplitRolePolicy struct {
-	// BaseDecodeShare is the share of the engines that decode without any load.
-	// MinDecode is their least number, so that one can be lost.
-	BaseDecodeShare float64
+	// BaseDecodeSlots is the number of slots for decodes, per engine of the fleet,
+	// that are kept without any load. MinDecode is the least number of decode
+	// engines, so that one can be lost.
+	BaseDecodeSlots float64
 	MinDecode       int
-	// TargetUtilization, from 0 to 1, is the planned load of a decode engine.
-	TargetUtilization float64
-	// Cooldown is the least time between two changes of one engine. Under load
-	// no decode engine returns to prefill within Cooldown of any change.
+	// MaxPeakUtilization, from 0 to 1, is the load of the fleet at the peaks of both
+	// phases up to which the division follows them.
+	MaxPeakUtilization float64
+	// MinGain is the least decrease of the load of the busier phase for which
+	// engines change under load.
+	MinGain float64
+	// Cooldown is the least time between two changes of one engine, and the time
+	// for which a peak counts.
 	Cooldown time.Duration
 	// MaxChangingShare bounds the share of engines that change at the same time
 	// under load.
 	MaxChangingShare float64
 }
 
-// DefaultSplitRolePolicy returns the default policy. One engine in six decodes,
-// and at least three. A transfer to a decode engine takes 10 to 30 ms of its
-// link; at the declared loads these shares keep the links at about half of
-// TargetUtilization. A burst then needs no role change, which would take an
-// engine out of service for seconds.
+// DefaultSplitRolePolicy returns the default policy. Without load, one engine in
+// six with 64 slots decodes, and at least three engines. A burst then needs no role
+// change, which would take an engine out of service for seconds.
 func DefaultSplitRolePolicy() SplitRolePolicy {
-	return SplitRolePolicy{BaseDecodeShare: 1.0 / 6, MinDecode: 3, TargetUtilization: 0.5, Cooldown: 15 * time.Second, MaxChangingShare: 0.17}
+	return SplitRolePolicy{BaseDecodeSlots: 64.0 / 6, MinDecode: 3, MaxPeakUtilization: 0.7, MinGain: 0.05, Cooldown: 15 * time.Second, MaxChangingShare: 0.17}
 }
 
-// maxIdleWork is the offered work up to which the fleet counts as idle. All
-// engines may then change at once, because a change costs nothing.
-const maxIdleWork = 0.05
+const (
+	// maxIdleWork is the offered work up to which the fleet counts as idle. All
+	// engines may then change at once, because a change costs nothing.
+	maxIdleWork = 0.05
+	// defaultSlots is assumed for engines that declare no slots.
+	defaultSlots = 64
+)
+
+// busierPhase returns the load of the busier phase if d of n engines decode.
+func busierPhase(work Work, d, n int) float64 {
+	return max(work.Decode/float64(max(d, 1)), work.Prefill/float64(max(n-d, 1)))
+}
 
-// DecodeEngines returns the wanted number of decode engines among n engines. It
-// is at most half of n, and at least 1.
-func (p SplitRolePolicy) DecodeEngines(work Work, n int) int {
-	base := max(p.MinDecode, int(math.Ceil(p.BaseDecodeShare*float64(n)-1e-9)))
-	need := int(math.Ceil(work.Decode/p.TargetUtilization - 1e-9))
-	return max(1, min(max(base, need), n/2))
+// DecodeEngines returns the wanted number of decode engines among n engines with a
+// number of slots each. It is at least the base, at most half of n and at least 1.
+func (p SplitRolePolicy) DecodeEngines(work Work, n, slots int) int {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	base := max(p.MinDecode, int(math.Ceil(p.BaseDecodeSlots/float64(slots)*float64(n)-1e-9)))
+	best := max(1, min(base, n/2))
+	for d := best + 1; d <= n/2; d++ {
+		if busierPhase(work, d, n) < busierPhase(work, best, n)-1e-9 {
+			best = d
+		}
+	}
+	return best
+}
+
+// demand returns the work that the division of n engines follows.
+func (p SplitRolePolicy) demand(in Input, n int) Work {
+	peak := Work{Prefill: max(in.Work.Prefill, in.Peak.Prefill), Decode: max(in.Work.Decode, in.Peak.Decode)}
+	if peak.Prefill+peak.Decode > p.MaxPeakUtilization*float64(n) {
+		return in.Work
+	}
+	return peak
 }
 
 // Decide implements Policy.
@@ -76,32 +106,22 @@
 		// cannot run both phases.
 		return nil
 	}
-	want := p.DecodeEngines(in.Work, usable)
+	work := p.demand(in, usable)
+	want := p.DecodeEngines(work, usable, in.Slots)
 	allowed := usable
-	loaded := in.Work.Prefill+in.Work.Decode > maxIdleWork
-	if loaded {
+	if in.Work.Prefill+in.Work.Decode > maxIdleWork {
 		allowed = max(1, int(p.MaxChangingShare*float64(usable))) - changing
+		if busierPhase(work, len(decode), usable)-busierPhase(work, want, usable) < p.MinGain {
+			return nil
+		}
 	}
 	from, to, n := prefill, endpoint.RoleDecode, want-len(decode)
 	if n < 0 {
 		from, to, n = decode, endpoint.RolePrefill, -n
-		if loaded && in.Now.Sub(lastChange(in.Engines)) < p.Cooldown {
-			return nil
-		}
 	}
 	return p.pickChanges(in, from, to, min(n, allowed), decodeByDomain)
 }
 
-func lastChange(engines []Engine) time.Time {
-	var last time.Time
-	for _, e := range engines {
-		if e.ChangedAt.After(last) {
-			last = e.ChangedAt
-		}
-	}
-	return last
-}
-
 // pickChanges selects up to n engines to change, idle ones first, such that the
 // decode engines stay spread over the failure domains. It updates
 // decodeByDomain.
