Hold back less urgent prompts while engines have a backlog

Cause: engines prefill in the order of arrival, whatever the priority.

Change: less urgent prompts wait at their host until the shortest backlog is a quarter of the urgent work's target or less, late ones until an engine is nearly idle. The held work ahead of a request counts in its expected time; it is refused, with a time to come back, as soon as that exceeds its caller's patience. The decision is in placement/hold.go.

--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -25,6 +25,9 @@
 	// equally good. It exceeds the error that results from the report delay
 	// between hosts, and is small compared with a latency target.
 	tieBreakRange = 12 * time.Millisecond
+	// minSpareShare is the least share of the engines that late work is expected to
+	// get.
+	minSpareShare = 0.02
 	// fullSlotsPenalty is the cost of a decode engine whose slots are all
 	// taken.
 	fullSlotsPenalty = 400 * time.Millisecond
@@ -157,6 +160,36 @@
 	return best, bestCost >= 0
 }
 
+// HeldWait returns the expected time until the held jobs of this host that are ahead
+// of a job have been sent, if each of the hosts holds as much. A late job of the
+// given work gets only what newer work leaves, which is nearly nothing while the
+// engines are busy.
+func (m *Model) HeldWait(late bool, work time.Duration, arrived, now time.Time, hosts int) time.Duration {
+	ahead := m.Held.Ahead(late, arrived)
+	saturated := late && m.Held.Ahead(false, now) > 0
+	if late {
+		ahead += work
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	engines := 0
+	for _, e := range m.order {
+		if e.member.Role == endpoint.RolePrefill && e.member.State == endpoint.StateLive {
+			engines++
+		}
+	}
+	wait := ahead * time.Duration(hosts) / time.Duration(max(engines, 1))
+	if late {
+		m.work.decay(now)
+		spare := 1 - m.work.prefill/float64(max(engines, 1))
+		if saturated {
+			spare = 0
+		}
+		wait = time.Duration(float64(wait) / max(spare, minSpareShare))
+	}
+	return wait
+}
+
 // DecodeWait returns the expected time until a decode engine has a free slot. Each
 // engine frees a slot every streamTime divided by its slots.
 func (m *Model) DecodeWait(job Job, health Health, now time.Time) time.Duration {
--- /dev/null
+++ b/pkg/placement/hold.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// backlogShare is the part of the shortest target among more urgent work that
+	// the backlog of an engine may take before less urgent work is held back.
+	backlogShare = 0.25
+	// lateBacklog is the backlog up to which work that has missed its target is
+	// sent: it must not make other work late.
+	lateBacklog = 30 * time.Millisecond
+	// minHold and maxHold bound the time until a held job looks for an engine again.
+	// Engines become free earlier than expected when sends fail.
+	minHold = 10 * time.Millisecond
+	maxHold = 100 * time.Millisecond
+)
+
+// Urgency is the rank of a job among the work of its service.
+type Urgency struct {
+	// Ranks is the number of more urgent priorities that the service has. Their
+	// work has the Target, the shortest one.
+	Ranks  int
+	Target time.Duration
+}
+
+// HoldTime returns how long a host keeps a job before it looks for an engine again.
+// Zero means that the job is to be sent to the engine of the choice now.
+//
+// Load pattern: more long prompts than the engines can prefill, among short urgent
+// ones. An engine runs prefills in the order of arrival, whatever their priority. A
+// backlog of long prompts at each engine makes all urgent ones late, and a prompt
+// that waits there cannot move to an engine that becomes free. Less urgent work
+// therefore waits at its host while the shortest backlog is a considerable part of
+// the urgent work's target, and work that has missed its target waits until an
+// engine is nearly idle. The most urgent work is never held.
+func HoldTime(u Urgency, late bool, c Choice) time.Duration {
+	if u.Ranks <= 0 {
+		return 0
+	}
+	limit := time.Duration(backlogShare * float64(u.Target) / float64(u.Ranks))
+	if late {
+		limit = min(limit, lateBacklog)
+	}
+	if c.Wait <= limit {
+		return 0
+	}
+	return min(max(c.Wait-limit, minHold), maxHold)
+}
+
+// HeldJob is a job that its host holds back.
+type HeldJob struct {
+	late    bool
+	arrived time.Time
+	work    time.Duration
+}
+
+// HoldQueue is the set of jobs that a host holds back. It is safe for concurrent
+// use.
+type HoldQueue struct {
+	mu   sync.Mutex
+	jobs map[*HeldJob]struct{} // guarded by mu
+}
+
+// Hold adds a job, or updates it if it is held already. job is nil for a new one.
+// work is the time for which the job would occupy an engine.
+func (q *HoldQueue) Hold(job *HeldJob, late bool, arrived time.Time, work time.Duration) *HeldJob {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if job == nil {
+		job = &HeldJob{}
+		if q.jobs == nil {
+			q.jobs = map[*HeldJob]struct{}{}
+		}
+		q.jobs[job] = struct{}{}
+	}
+	job.late, job.arrived, job.work = late, arrived, work
+	return job
+}
+
+// Release removes a job that was sent or refused. A nil job is ignored.
+func (q *HoldQueue) Release(job *HeldJob) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.jobs, job)
+}
+
+// Ahead returns the work of the held jobs that are sent before one that arrived at
+// a time. Jobs that can still meet their target come first, then the others, each
+// in the order of arrival: a late job that has waited longest is the next that its
+// caller gives up.
+func (q *HoldQueue) Ahead(late bool, arrived time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var ahead time.Duration
+	for job := range q.jobs {
+		if job.late == late && job.arrived.Before(arrived) || late && !job.late {
+			ahead += job.work
+		}
+	}
+	return ahead
+}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -77,6 +77,9 @@
 // Model holds the estimated state of the engines of one service. It is safe for
 // concurrent use.
 type Model struct {
+	// Held holds the jobs that this host holds back.
+	Held HoldQueue
+
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	engines    map[string]*engine
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -10,6 +10,7 @@
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/sleep"
 )
 
 const (
@@ -46,10 +47,13 @@
 
 // generation serves one request for model work.
 type generation struct {
-	h     *Handler
-	x     *exchange
-	model *placement.Model
-	job   placement.Job
+	h       *Handler
+	x       *exchange
+	model   *placement.Model
+	job     placement.Job
+	urgency placement.Urgency
+	// held is set while the host holds the request back.
+	held *placement.HeldJob
 	// lastDelivered is the id of the last event that the caller has received.
 	lastDelivered string
 }
@@ -58,7 +62,8 @@
 func (h *Handler) generate(x *exchange, model *placement.Model) *refusal.Refusal {
 	p := x.call.Prompt
 	g := &generation{h: h, x: x, model: model, lastDelivered: x.call.LastEventID,
-		job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens}}
+		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens}}
+	defer func() { model.Held.Release(g.held) }()
 	stream, r := g.open()
 	if r != nil {
 		return r
@@ -80,6 +85,9 @@
 		if r := g.admit(choice); r != nil {
 			return nil, r
 		}
+		if g.hold(choice) {
+			continue
+		}
 		handle, err := g.prefill(choice)
 		if err != nil {
 			if r := g.afterFailedPrefill(choice, err); r != nil {
@@ -98,7 +106,7 @@
 // admit refuses work whose first event is expected after the deadline or the
 // caller's timeout, and marks work that will miss its target as late.
 func (g *generation) admit(c placement.Choice) *refusal.Refusal {
-	wait := c.Expected() + g.model.DecodeWait(g.job, g.h.Outliers, time.Now()) + firstEventLatency
+	wait := g.heldWait(c.Work) + c.Expected() + g.model.DecodeWait(g.job, g.h.Outliers, time.Now()) + firstEventLatency
 	expected := g.x.elapsed() + wait
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
@@ -112,6 +120,36 @@
 		WithRetryAfter(g.x.retryAfter(max(excess, minOverloadRetryAfter)))
 }
 
+// urgencyOf ranks the request among the routes of its service.
+func urgencyOf(x *exchange) placement.Urgency {
+	ranks, target := x.table.MoreUrgent(x.service, x.priority)
+	return placement.Urgency{Ranks: ranks, Target: target}
+}
+
+// heldWait returns the expected time until the held requests before this one, which
+// takes an engine for the time work, have been sent.
+func (g *generation) heldWait(work time.Duration) time.Duration {
+	if g.urgency.Ranks == 0 || g.lastDelivered != "" {
+		return 0
+	}
+	return g.model.HeldWait(g.job.Late, work, g.x.arrived, time.Now(), g.h.LiveHosts())
+}
+
+// hold keeps the request at this host for a while if no engine is to get it now, and
+// reports whether it did. A stream that is resumed is not held.
+func (g *generation) hold(c placement.Choice) bool {
+	d := placement.HoldTime(g.urgency, g.job.Late, c)
+	if d <= 0 || g.lastDelivered != "" {
+		g.model.Held.Release(g.held)
+		g.held = nil
+		return false
+	}
+	g.held = g.model.Held.Hold(g.held, g.job.Late, g.x.arrived, c.Work)
+	sleep.For(g.x.workCtx, d)
+	g.x.logFields["held_ms"] = g.x.elapsed().Milliseconds()
+	return true
+}
+
 // callerTimeout returns how long the caller waits for the first event.
 func (g *generation) callerTimeout() time.Duration {
 	return max(minCallerTimeout, callerTimeoutTargets*g.x.route.Target, callerTimeoutGaps*g.x.route.GapTarget)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -52,6 +52,8 @@
 	Client   *upstream.Client
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
+	// LiveHosts returns the number of hosts that serve requests.
+	LiveHosts func() int
 	// OnEjected is called for each endpoint that is ejected, to report it to the
 	// other hosts. The callbacks must be safe for concurrent use.
 	OnEjected func(m fleet.Member, kind outlier.FailureKind)
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -111,7 +111,7 @@
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
-		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client,
+		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
--- a/pkg/routes/table.go
+++ b/pkg/routes/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,11 +26,19 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Team
+	// ranks holds, by service, the priorities of its routes, most urgent first.
+	ranks map[string][]rank
+}
+
+// rank is a priority with the shortest target of the routes that have it.
+type rank struct {
+	priority int
+	target   time.Duration
 }
 
 // NewTable indexes a document, which must not be changed afterwards.
 func NewTable(document Document) *Table {
-	t := &Table{document: document, byHost: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Team{}}
+	t := &Table{document: document, byHost: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Team{}, ranks: map[string][]rank{}}
 	for i := range document.Routes {
 		r := &document.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -46,9 +55,44 @@
 			t.keys[key] = &document.Teams[i]
 		}
 	}
+	for i := range document.Routes {
+		r := &document.Routes[i]
+		for _, s := range r.Services {
+			t.addRank(s.Service, rank{r.Priority, r.Target})
+		}
+	}
 	return t
 }
 
+func (t *Table) addRank(service string, r rank) {
+	if r.target <= 0 {
+		return
+	}
+	ranks := t.ranks[service]
+	i, found := slices.BinarySearchFunc(ranks, r.priority, func(a rank, priority int) int { return a.priority - priority })
+	if found {
+		ranks[i].target = min(ranks[i].target, r.target)
+		return
+	}
+	t.ranks[service] = slices.Insert(ranks, i, r)
+}
+
+// MoreUrgent returns how many priorities that are more urgent than the given one
+// the routes of a service have, and the shortest target among them. Priority 0 is
+// the most urgent.
+func (t *Table) MoreUrgent(service string, priority int) (ranks int, target time.Duration) {
+	for _, r := range t.ranks[service] {
+		if r.priority >= priority {
+			break
+		}
+		ranks++
+		if target == 0 || r.target < target {
+			target = r.target
+		}
+	}
+	return ranks, target
+}
+
 // Version returns the document's version.
 func (t *Table) Version() int64 { return t.document.Version }
 
