Load reports of many hosts go through a relay in each failure domain

Cause: each host sent each report to all others.

Change: from 24 peers on, a host sends its reports of sends to the relay of its failure domain, which merges them and passes them on to the hosts of its domain and to the relays of the others (loadshare/relay.go). A report crosses once to each domain and arrives after 70 ms at any size. Ejections, blocks, pages and usage still go directly. Beyond 150 peers, heartbeats of hosts that do not lead get rarer. A relay drops reports beyond 0.4 of its link.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -6,8 +6,9 @@
 // State: the peers' addresses and when each was last heard. Reports travel as
 // datagrams. A lost report only makes the receiver's view of the engines less
 // accurate; nothing that is billed, ordered or promised depends on reports.
-// They are batched for a time that grows with the number of peers, which bounds
-// the datagrams that one host receives each second. Pages of the store are sent
+// Few hosts send them to each other directly, batched for a time that grows with
+// the number of peers. Among many hosts a relay in each failure domain merges and
+// passes on the reports of sends, see relay.go. Pages of the store are sent
 // at once, as long as they leave the host's link free for callers. A host that
 // misses a page reads it from the store.
 //
@@ -43,9 +44,12 @@
 	// readErrorDelay is the wait after a failed read.
 	readErrorDelay = 10 * time.Millisecond
 	// heartbeatInterval is the longest time between two datagrams to a peer. A
-	// peer that has not been heard for liveTimeout does not count as live.
+	// peer that has not been heard for liveTimeout does not count as live. With
+	// more than fullRatePeers peers, hosts that do not lead send fewer heartbeats,
+	// and these times and silenceThreshold grow with the peers.
 	heartbeatInterval = time.Second
 	liveTimeout       = 3500 * time.Millisecond
+	fullRatePeers     = 150
 	// silenceThreshold is the time without a datagram after which a peer may
 	// have been cut off. handoverTime is how long such a peer takes, once it is
 	// heard again, to forward the usage counts that it has kept. awaitTimeout
@@ -130,7 +134,8 @@
 // Options configure an Exchange. All functions must be set. Those that start
 // with On are called by one goroutine, in the order of arrival.
 type Options struct {
-	Host string
+	// Host is this host's name, Domain its failure domain.
+	Host, Domain string
 	// Conn sends and receives the datagrams. The caller of Run closes it.
 	Conn net.PacketConn
 	// LinkBytesPerSecond is the rate of this host's link; zero if it is not known.
@@ -150,7 +155,10 @@
 	OnPage       func(topic string, from int64, page keyedlog.Page)
 	// OnUsage receives usage counts that another host has forwarded.
 	OnUsage func([]usage.Flush)
-	Log     log.Interface
+	// Leads reports whether this host reads the store for the others, which need
+	// its progress often.
+	Leads func() bool
+	Log   log.Interface
 }
 
 // Exchange sends this host's reports to its peers and applies theirs. It is
@@ -159,24 +167,50 @@
 	opts Options
 	// wake starts the next batch of reports.
 	wake chan struct{}
+	// sendWake starts the next batch of reports of sends.
+	sendWake chan struct{}
 	// pageLimiter limits the bytes of published pages.
 	pageLimiter *rate.Limiter
+	relay       *relayState
 
 	mu sync.Mutex
-	// The fields below are guarded by mu.
+	// The fields below are guarded by mu. queue holds reports that go to every peer
+	// directly, sends those that may go through a relay.
 	queue []report
+	sends []report
 	peers map[string]*peer
 }
 
+// scale returns the factor by which the times of heartbeats grow. It must be called
+// with mu held.
+func (x *Exchange) scale() float64 { return max(1, float64(len(x.peers))/fullRatePeers) }
+
+// scaled returns a time of heartbeats for the present number of peers. It must be
+// called with mu held.
+func (x *Exchange) scaled(d time.Duration) time.Duration {
+	return time.Duration(x.scale() * float64(d))
+}
+
+// nextHeartbeat returns the time until the next heartbeat of this host.
+func (x *Exchange) nextHeartbeat() time.Duration {
+	if x.opts.Leads() {
+		return heartbeatInterval
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.scaled(heartbeatInterval)
+}
+
 // Member is a host that takes part in the exchange.
 type Member struct {
-	Host string
+	Host, Domain string
 	// LinkBytesPerSecond is the rate of the host's link; zero if it is not known.
 	LinkBytesPerSecond float64
 }
 
 type peer struct {
 	address            netip.AddrPort
+	domain             string
 	linkBytesPerSecond float64
 	// heardAt is when the peer was last heard, returnedAt when it was first
 	// heard after its last silence.
@@ -185,7 +219,7 @@
 
 // New returns an exchange that Run starts.
 func New(opts Options) *Exchange {
-	x := &Exchange{opts: opts, wake: make(chan struct{}, 1), pageLimiter: rate.NewLimiter(rate.Inf, 0), peers: map[string]*peer{}}
+	x := &Exchange{opts: opts, wake: make(chan struct{}, 1), sendWake: make(chan struct{}, 1), pageLimiter: rate.NewLimiter(rate.Inf, 0), relay: newRelayState(opts.LinkBytesPerSecond), peers: map[string]*peer{}}
 	if link := opts.LinkBytesPerSecond; link > 0 {
 		x.pageLimiter = rate.NewLimiter(rate.Limit(link*pageLinkFraction), int(link*pageBurstTime.Seconds()))
 	}
@@ -204,10 +238,10 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if p := x.peers[m.Host]; p != nil && p.address == parsed && p.linkBytesPerSecond == m.LinkBytesPerSecond {
+	if p := x.peers[m.Host]; p != nil && p.address == parsed && p.domain == m.Domain && p.linkBytesPerSecond == m.LinkBytesPerSecond {
 		return nil
 	}
-	x.peers[m.Host] = &peer{address: parsed, linkBytesPerSecond: m.LinkBytesPerSecond, heardAt: time.Now()}
+	x.peers[m.Host] = &peer{address: parsed, domain: m.Domain, linkBytesPerSecond: m.LinkBytesPerSecond, heardAt: time.Now()}
 	return nil
 }
 
@@ -240,7 +274,15 @@
 		r.Parts = append(r.Parts, p.ID)
 		r.Sizes = append(r.Sizes, p.Tokens)
 	}
-	x.enqueue(r)
+	x.mu.Lock()
+	if len(x.sends) < maxQueuedReports {
+		x.sends = append(x.sends, r)
+	}
+	x.mu.Unlock()
+	select {
+	case x.sendWake <- struct{}{}:
+	default:
+	}
 }
 
 // ReportBlock queues the report that an engine takes no work for the time d.
@@ -365,7 +407,7 @@
 	var addresses []netip.AddrPort
 	for _, host := range hosts {
 		p := x.peers[host]
-		if p != nil && len(addresses) < n && time.Since(p.heardAt) < liveTimeout {
+		if p != nil && len(addresses) < n && time.Since(p.heardAt) < x.scaled(liveTimeout) {
 			addresses = append(addresses, p.address)
 		}
 	}
@@ -392,10 +434,10 @@
 func (x *Exchange) Live() []Member {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	members := []Member{{x.opts.Host, x.opts.LinkBytesPerSecond}}
+	members := []Member{{x.opts.Host, x.opts.Domain, x.opts.LinkBytesPerSecond}}
 	for name, p := range x.peers {
-		if time.Since(p.heardAt) < liveTimeout {
-			members = append(members, Member{name, p.linkBytesPerSecond})
+		if time.Since(p.heardAt) < x.scaled(liveTimeout) {
+			members = append(members, Member{name, p.domain, p.linkBytesPerSecond})
 		}
 	}
 	return members
@@ -405,6 +447,8 @@
 func (x *Exchange) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { x.receive(ctx) })
+	wg.Go(func() { x.runSends(ctx) })
+	wg.Go(func() { x.runRelay(ctx) })
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
 	for {
@@ -418,7 +462,46 @@
 		case <-timer.C:
 		}
 		x.sendReports()
-		timer.Reset(heartbeatInterval)
+		timer.Reset(x.nextHeartbeat())
+	}
+}
+
+// runSends sends the reports of sends until ctx ends.
+func (x *Exchange) runSends(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.sendWake:
+		}
+		t := x.topology(time.Now())
+		if !t.relayed {
+			x.mu.Lock()
+			x.queue = append(x.queue, x.sends...)
+			x.sends = nil
+			x.mu.Unlock()
+			x.SendSoon()
+			continue
+		}
+		sleep.For(ctx, relaySendDelay)
+		x.mu.Lock()
+		reports := x.sends
+		x.sends = nil
+		x.mu.Unlock()
+		x.sendViaRelay(reports, t)
+	}
+}
+
+// runRelay passes on the reports of other hosts until ctx ends.
+func (x *Exchange) runRelay(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.relay.wake:
+		}
+		sleep.For(ctx, relayMergeDelay)
+		x.passOn()
 	}
 }
 
@@ -460,6 +543,15 @@
 			}
 			continue
 		}
+		if n > 0 && buf[0] == envelopeHeader {
+			var e envelope
+			if err := cbor.Unmarshal(buf[:n], &e); err != nil {
+				x.opts.Log.WithError(err).Warn("load_report_not_readable")
+				continue
+			}
+			x.applyEnvelope(e)
+			continue
+		}
 		var m message
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			x.opts.Log.WithError(err).Warn("load_report_not_readable")
@@ -475,7 +567,7 @@
 	p := x.peers[m.Host]
 	if p != nil {
 		now := time.Now()
-		if now.Sub(p.heardAt) > silenceThreshold {
+		if now.Sub(p.heardAt) > x.scaled(silenceThreshold) {
 			p.returnedAt = now
 		}
 		p.heardAt = now
@@ -493,7 +585,12 @@
 	if len(m.Flushes) > 0 {
 		x.opts.OnUsage(m.Flushes)
 	}
-	for _, r := range m.Reports {
+	x.applyReports(m.Host, m.Reports)
+}
+
+// applyReports applies the reports of another host.
+func (x *Exchange) applyReports(host string, reports []report) {
+	for _, r := range reports {
 		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
 			continue
 		}
@@ -502,7 +599,7 @@
 			x.opts.OnBlock(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
 		case phaseEjected, phaseEjectedUnreachable:
-			x.opts.OnEject(r.Engine, m.Host, r.Phase == phaseEjectedUnreachable)
+			x.opts.OnEject(r.Engine, host, r.Phase == phaseEjectedUnreachable)
 			continue
 		}
 		sent := placement.SendReport{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros}
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -34,13 +34,19 @@
 }
 
 func start(t *testing.T, name string) *node {
+	t.Helper()
+	return startWith(t, name, func(*Options) {})
+}
+
+// startWith starts an exchange whose options are changed by configure.
+func startWith(t *testing.T, name string, configure func(*Options)) *node {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := &node{conn: conn, blocked: map[string]time.Duration{}}
-	n.exchange = New(Options{Host: name, Conn: conn, Log: logging.Discard(),
+	opts := Options{Host: name, Conn: conn, Log: logging.Discard(), Leads: func() bool { return false },
 		OnSend:  func(_ string, s placement.SendReport) { n.record(func() { n.sends = append(n.sends, s) }) },
 		OnBlock: func(_, engine string, d time.Duration) { n.record(func() { n.blocked[engine] = d }) },
 		OnEject: func(endpoint, host string, unreachable bool) {
@@ -52,7 +58,9 @@
 		OnPage: func(_ string, from int64, page keyedlog.Page) {
 			n.record(func() { n.pages, n.pageOffsets = append(n.pages, page), append(n.pageOffsets, from) })
 		},
-	})
+	}
+	configure(&opts)
+	n.exchange = New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -51,7 +51,7 @@
 	var a announcement
 	err := json.Unmarshal(r.Value, &a)
 	if err == nil {
-		err = h.exchange.SetPeer(loadshare.Member{Host: r.Key, LinkBytesPerSecond: a.LinkBytesPerSecond}, a.Address)
+		err = h.exchange.SetPeer(loadshare.Member{Host: r.Key, Domain: a.Domain, LinkBytesPerSecond: a.LinkBytesPerSecond}, a.Address)
 	}
 	if err != nil {
 		h.log.WithField("offset", r.Offset).WithError(err).Warn("host_not_readable")
@@ -63,6 +63,7 @@
 type announcement struct {
 	// Address receives the datagrams of other hosts, as IP:port.
 	Address            string  `json:"address"`
+	Domain             string  `json:"domain"`
 	LinkBytesPerSecond float64 `json:"linkBytesPerSecond"`
 }
 
@@ -70,7 +71,7 @@
 // succeeds. Writing it twice does no harm.
 func (h *Host) announce(ctx context.Context) {
 	value, err := json.Marshal(announcement{
-		Address: net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.PeerPort)), LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
+		Address: net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.PeerPort)), Domain: h.settings.Domain, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
 	})
 	if err != nil {
 		h.log.WithError(err).Error("host_not_announced")
