Capacity by load; candidates in different failure domains

Five candidates for the lease make four calls a second each, and could all be in one domain.

Change: a service whose peak load stays below 0.2 is reduced to 0.35, at least half of its limit, and filled again from 0.5 on. Three candidates, in different domains as far as their links allow.

--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -13,7 +14,8 @@
 // It suits bursts that double the work within a second, while an ordered
 // endpoint takes seconds to start, and domains whose reclaimable endpoints are
 // reclaimed all at once. While a loaded domain lacks them, because they are leaving,
-// refused or starting, it has more durable ones.
+// refused or starting, it has more durable ones. A fleet whose load stays low gives
+// some of them back, and fills up again before the load reaches its limit.
 type FillReclaimable struct {
 	// Durable is the number of durable endpoints in each domain that is filled.
 	Durable int
@@ -25,6 +27,11 @@
 	// FallbackShare is the share of a domain's limit that is kept under load, with
 	// durable endpoints, while fewer than half of the reclaimable ones are live.
 	FallbackShare float64
+	// A service that has been loaded for ObserveTime and whose peak load, as a share
+	// of its endpoints, is below LowLoad is reduced to TargetLoad, but not below
+	// MinFillShare of the limit. From GrowLoad on it is filled again.
+	ObserveTime                                 time.Duration
+	LowLoad, TargetLoad, GrowLoad, MinFillShare float64
 	// RetryAfter is the time after which a refused count is ordered again. A
 	// count that was not reached is ordered again after BootTime + RetryAfter.
 	RetryAfter time.Duration
@@ -34,7 +41,8 @@
 // doubling the endpoints costs less than what is lost if one second in ten is
 // slow.
 func DefaultFillReclaimable() FillReclaimable {
-	return FillReclaimable{Durable: 1, MaxPriceRatio: 0.4, FillShare: 1, FallbackShare: 0.5, RetryAfter: 3 * time.Second}
+	return FillReclaimable{Durable: 1, MaxPriceRatio: 0.4, FillShare: 1, FallbackShare: 0.5,
+		ObserveTime: 6 * time.Second, LowLoad: 0.2, TargetLoad: 0.35, GrowLoad: 0.5, MinFillShare: 0.5, RetryAfter: 3 * time.Second}
 }
 
 // Pool describes the endpoints of a service in one failure domain.
@@ -47,8 +55,12 @@
 	Baseline int
 	// Min and Max bound the number of endpoints of both kinds together.
 	Min, Max int
-	// Loaded is set while there is work for the endpoints.
-	Loaded bool
+	// Loaded is set while there is work for the endpoints, LoadedFor is for how long.
+	Loaded    bool
+	LoadedFor time.Duration
+	// PeakLoad is the recent peak of the share of the service's endpoints that are
+	// busy.
+	PeakLoad float64
 	// Price is the price of a reclaimable endpoint relative to a durable one.
 	// It is zero if there are no reclaimable endpoints.
 	Price float64
@@ -89,7 +101,7 @@
 		durable, reclaimable := pool.Baseline, 0
 		if pool.Price > 0 && pool.Price <= p.MaxPriceRatio {
 			durable = p.Durable
-			reclaimable = max(0, int(p.FillShare*float64(pool.Max))-durable)
+			reclaimable = max(0, p.fill(pool)-durable)
 			if pool.Loaded && pool.Reclaimable < reclaimable/2 {
 				durable = max(durable, int(p.FallbackShare*float64(pool.Max))-pool.Reclaimable)
 			}
@@ -106,6 +118,21 @@
 	return out
 }
 
+// fill returns the wanted number of endpoints of both kinds in a domain that is
+// filled.
+func (p FillReclaimable) fill(pool Pool) int {
+	full := int(p.FillShare * float64(pool.Max))
+	last := pool.LastOrders[KindReclaimable]
+	if last.Sent && last.Count+p.Durable < full && pool.Loaded && pool.PeakLoad < p.GrowLoad {
+		return last.Count + p.Durable
+	}
+	if !pool.Loaded || pool.LoadedFor < p.ObserveTime || pool.PeakLoad >= p.LowLoad {
+		return full
+	}
+	needed := int(math.Ceil(float64(pool.Durable+pool.Reclaimable) * pool.PeakLoad / p.TargetLoad))
+	return min(full, max(needed, int(p.MinFillShare*float64(pool.Max))))
+}
+
 // due reports whether the wanted count must be ordered now: it differs from the
 // present one and was not the last order, or that order was refused or had no
 // effect in time.
--- a/pkg/relayhost/candidates_test.go
+++ b/pkg/relayhost/candidates_test.go
@@ -28,3 +28,22 @@
 		t.Errorf("got %v, want the only host", few)
 	}
 }
+
+// TestRankHostsSpreadsDomains guards against leaders and candidates that are all in
+// one failure domain and are lost with it.
+func TestRankHostsSpreadsDomains(t *testing.T) {
+	var hosts []loadshare.Member
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		hosts = append(hosts, loadshare.Member{Host: name + "-1", Domain: "d1", LinkBytesPerSecond: 25e6},
+			loadshare.Member{Host: name + "-2", Domain: "d2", LinkBytesPerSecond: 20e6},
+			loadshare.Member{Host: name + "-3", Domain: "d3", LinkBytesPerSecond: 1.25e6})
+	}
+	got := rankHosts(hosts, 4)
+	domains := map[string]int{}
+	for _, name := range got {
+		domains[name[2:]]++
+	}
+	if domains["1"] != 2 || domains["2"] != 2 {
+		t.Errorf("got %v, want two hosts of each domain with wide links", got)
+	}
+}
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -32,9 +32,10 @@
 	// order that is unanswered at the end of its lease, so that only data on the
 	// network is left.
 	orderLifetime = 300 * time.Millisecond
-	// maxCandidates is the number of hosts that compete for the lease. Several
-	// of them may be killed or cut off at once.
-	maxCandidates = 5
+	// maxCandidates is the number of hosts that compete for the lease. They are in
+	// different failure domains, one of which may be lost, and each costs about four
+	// calls to the store a second.
+	maxCandidates = 3
 	// usageForwardPeers is the number of candidates to which a host forwards
 	// its usage counts. One of them may be cut off from the store.
 	usageForwardPeers = 2
@@ -134,6 +135,8 @@
 	roleChanges map[string]roleChange
 	// peaks holds the peaks of each service's work. Only run uses it.
 	peaks map[string]*workPeaks
+	// loadedSince holds since when each service has had work. Only run uses it.
+	loadedSince map[string]time.Time
 	// lastOrders holds the last order for endpoints of each pool, maxDurable the
 	// largest number of durable endpoints seen in it. Only run uses them.
 	lastOrders map[poolKey]capacity.LastOrder
@@ -161,7 +164,7 @@
 // newDuties returns duties that already count usage; run performs the rest.
 func newDuties(h *Host, stream logservice.Client, platform Platform) *duties {
 	d := &duties{host: h, stream: stream, platform: platform, clock: steadyclock.New(), key: lease.Key{Duty: lease.Coordination},
-		roles: roles.DefaultSplitRolePolicy(), capacity: capacity.DefaultFillReclaimable(), roleChanges: map[string]roleChange{}, peaks: map[string]*workPeaks{}, lastOrders: map[poolKey]capacity.LastOrder{}, maxDurable: map[poolKey]int{}}
+		roles: roles.DefaultSplitRolePolicy(), capacity: capacity.DefaultFillReclaimable(), roleChanges: map[string]roleChange{}, peaks: map[string]*workPeaks{}, loadedSince: map[string]time.Time{}, lastOrders: map[poolKey]capacity.LastOrder{}, maxDurable: map[poolKey]int{}}
 	d.counter = usage.NewCounter(usage.CounterOptions{
 		Client: stream, Clock: d.clock, Incarnation: h.settings.Host + "/" + uuid.NewString(), LiveHosts: h.liveHosts, Peers: d,
 		Window: h.settings.UsageWindow, FlushInterval: usageForwardInterval, Log: h.log,
--- a/pkg/relayhost/scale.go
+++ b/pkg/relayhost/scale.go
@@ -41,9 +41,17 @@
 func (d *duties) pools(s routes.Service, now time.Time) []capacity.Pool {
 	members := d.host.fleet.Members(s.Name)
 	work := d.host.models.For(s.Name).Work(now)
+	loaded := work.Prefill+work.Decode > minLoadedWork
+	if !loaded {
+		delete(d.loadedSince, s.Name)
+	} else if d.loadedSince[s.Name].IsZero() {
+		d.loadedSince[s.Name] = now
+	}
+	peak := d.peakWork(s.Name, work, now)
+	peakLoad := (peak.Prefill + peak.Decode) / float64(max(len(members), 1))
 	var pools []capacity.Pool
 	for _, domain := range slices.Sorted(maps.Keys(s.Scaling.DomainPrices)) {
-		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime, Loaded: work.Prefill+work.Decode > minLoadedWork}
+		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime, Loaded: loaded, LoadedFor: now.Sub(d.loadedSince[s.Name]), PeakLoad: peakLoad}
 		for _, m := range members {
 			switch {
 			case m.Domain != domain || m.State == endpoint.StateLeaving:
