Bound what endpoints in trouble may send

Cause: the trailer of a chunked answer was read line by line without a bound (2,111 MB in 2 s for one answer); an event without end was kept whole and searched from its start at each read; each byte of a stalled stream restarted its stall timeout; interim answers were read without end; a dozen answers of 8 MiB fill half of a small host. An answer to an earlier request on a reused connection failed the request that was in turn.

Change: bounds in upstream/bounds.go; one budget, an eighth of the host's memory, for the bodies that are read at the same time; the stall timeout runs until a complete event; an event has at most 64 KiB. Late copies, which the request id in the head identifies, are skipped, and their connection is not used again. A stream that its caller left after a stall counts against its engine.

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -59,6 +59,7 @@
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Fields: h.Codec.Fields(&x.call, opts), Body: x.call.Body,
 		HeadTimeout: headTimeout, NewConn: newConn,
+		Belongs: func(answer *upstream.Answer) bool { return belongsTo(h.Codec.DecodeAnswerHeader(answer), x.call.ID) },
 	}
 	sentAt := time.Now()
 	answer, err := h.Client.Do(x.workCtx, m.Address, req)
@@ -73,7 +74,7 @@
 	}
 	header := h.Codec.DecodeAnswerHeader(answer)
 	switch {
-	case header.RequestID != x.call.ID && header.RequestID != "":
+	case !belongsTo(header, x.call.ID):
 		err = errWrongRequest
 	case header.NotRun || answer.Status == 421:
 		// 421 Misdirected Request: the endpoint is not the expected instance.
@@ -95,6 +96,11 @@
 	return nil, steperr.Wrap(err, "check answer", m.Address)
 }
 
+// belongsTo reports whether an answer may belong to the request with the id.
+func belongsTo(header AnswerHeader, id string) bool {
+	return header.RequestID == "" || header.RequestID == id
+}
+
 // recordSendError records a failed send against the endpoint, unless the request
 // was cancelled.
 func (h *Handler) recordSendError(x *exchange, m fleet.Member, err error) {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -14,8 +14,13 @@
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
-// eventBufferBytes is the initial capacity of the buffer for an incomplete event.
-const eventBufferBytes = 1024
+const (
+	// eventBufferBytes is the initial capacity of the buffer for an incomplete event.
+	eventBufferBytes = 1024
+	// maxEventBytes bounds an incomplete event. Events of engines have a few hundred
+	// bytes.
+	maxEventBytes = 64 << 10
+)
 
 // eventEnd separates events (HTML standard, server-sent events).
 var eventEnd = []byte("\n\n")
@@ -27,24 +32,32 @@
 	member   fleet.Member
 	inFlight *placement.InFlightSend
 	sentAt   time.Time
-	// pending holds the bytes after the last complete event.
+	// eventAt is when the last complete event arrived.
+	eventAt time.Time
+	// pending holds the bytes after the last complete event. The first searched of
+	// them hold no end of an event.
 	pending     []byte
+	searched    int
 	lastEventID string
 	closed      bool
 }
 
 // next returns the complete events that have arrived, and io.EOF after the last
 // one of a complete answer. Events and an error may be returned together. limit
-// bounds each read; zero means no bound beyond the request's deadline.
+// bounds the time until a complete event: single bytes are no progress. Zero means no
+// bound beyond the request's deadline.
 func (s *stream) next(limit time.Duration) ([]byte, error) {
+	if limit > 0 {
+		if err := s.answer.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return nil, errors.Wrap(upstream.ErrIncomplete, err.Error())
+		}
+	}
 	for {
 		if events := s.takeEvents(); events != nil {
 			return events, nil
 		}
-		if limit > 0 {
-			if err := s.answer.SetReadDeadline(time.Now().Add(limit)); err != nil {
-				return nil, errors.Wrap(upstream.ErrIncomplete, err.Error())
-			}
+		if len(s.pending) > maxEventBytes {
+			return nil, errors.Wrapf(upstream.ErrIncomplete, "an event exceeds %d bytes", maxEventBytes)
 		}
 		var buf [2048]byte
 		n, err := s.answer.Read(buf[:])
@@ -77,12 +90,17 @@
 // takeEvents removes the complete events from the buffer and returns them, nil if
 // there are none.
 func (s *stream) takeEvents() []byte {
-	end := bytes.LastIndex(s.pending, eventEnd)
+	end := bytes.LastIndex(s.pending[s.searched:], eventEnd)
 	if end < 0 {
+		// The end may begin with the last byte.
+		s.searched = max(0, len(s.pending)-len(eventEnd)+1)
 		return nil
 	}
+	end += s.searched
+	s.searched = 0
 	events := s.pending[:end+len(eventEnd)]
 	s.pending = append(make([]byte, 0, eventBufferBytes), s.pending[end+len(eventEnd):]...)
+	s.eventAt = time.Now()
 	s.updateLastEventID(events)
 	return events
 }
@@ -244,6 +262,11 @@
 func (b *body) Close() error {
 	if !b.s.closed && b.g.x.outcome == "served" {
 		b.g.x.outcome = "caller_gone"
+		if time.Since(b.s.eventAt) >= stallTimeout {
+			// A stream that may not be sent again has no stall timeout, and its caller
+			// disconnects first. Without this a hung engine would never be ejected.
+			b.g.h.recordFailure(b.s.member, outlier.TimedOut, errors.New("the stream stalled until its caller left"))
+		}
 	}
 	b.s.close(placement.Failed)
 	b.g.x.finish()
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -49,6 +49,9 @@
 	requestReadTimeout = 5 * time.Second
 	callerIdleTimeout  = 20 * time.Second
 	maxBodyBytes       = 8 << 20
+	// bodyBudgetShare is the part of the host's memory for answers that are read
+	// into memory at the same time. Endpoints in trouble may send without end.
+	bodyBudgetShare = 0.125
 )
 
 // Adapter connects a host to its platform. All fields must be set.
@@ -107,7 +110,7 @@
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	h := &Host{settings: settings, adapter: adapter, log: logger, fleet: fleet.NewRegistry(), models: placement.NewModels(),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, stateLoaded: make(chan struct{}),
-		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream})}
+		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -37,14 +37,20 @@
 	// announce a shorter time. MaxIdle bounds the idle connections per address.
 	IdleTimeout time.Duration
 	MaxIdle     int
+	// BodyBudget bounds the bytes of all bodies that are read at the same time; zero
+	// means no bound.
+	BodyBudget int64
 }
 
 // Client sends requests to peers. It is safe for concurrent use.
-type Client struct{ pool pool }
+type Client struct {
+	pool   pool
+	bodies budget
+}
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	return &Client{pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, idle: map[string][]*conn{}}}
+	return &Client{bodies: budget{limit: opts.BodyBudget}, pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
@@ -80,6 +86,7 @@
 	complete bool
 	conn     *conn
 	pool     *pool
+	bodies   *budget
 	// stopCtxWatch keeps the end of the request's context from closing the
 	// connection. It returns false if the context has ended already.
 	stopCtxWatch func() bool
@@ -125,7 +132,7 @@
 			return nil, errors.Wrap(err, "set read deadline")
 		}
 	}
-	answer, err := readHead(cn, req.Method)
+	answer, err := c.awaitAnswer(cn, req)
 	if err != nil {
 		return nil, err
 	}
@@ -135,11 +142,36 @@
 	return answer, nil
 }
 
+// awaitAnswer reads the head of the answer that belongs to the request. It skips
+// answers to earlier requests on a connection that is in use again; such a connection
+// is not used another time.
+func (c *Client) awaitAnswer(cn *conn, req *Request) (*Answer, error) {
+	for strays := 0; ; strays++ {
+		answer, err := readHead(cn, req.Method)
+		if err != nil {
+			return nil, err
+		}
+		answer.bodies = &c.bodies
+		if strays > 0 {
+			answer.reusable = false
+		}
+		if req.Belongs == nil || req.Belongs(answer) || !cn.reused || !answer.framed || strays >= maxStrayAnswers {
+			return answer, nil
+		}
+		if _, err := readBounded(answer, maxStrayBytes, &c.bodies); err != nil {
+			return nil, errors.Wrap(err, "skip an answer to an earlier request")
+		}
+	}
+}
+
 // readHead reads the head of the final answer and skips interim (1xx) ones.
 func readHead(cn *conn, method string) (*Answer, error) {
 	var head fasthttp.ResponseHeader
 	head.SetNoDefaultContentType(true)
-	for {
+	for interim := 0; ; interim++ {
+		if interim > maxInterimAnswers {
+			return nil, errors.Wrapf(ErrIncomplete, "more than %d interim answers", maxInterimAnswers)
+		}
 		if err := head.Read(cn.r); err != nil {
 			if isTimeout(err) {
 				return nil, errors.Wrap(ErrAnswerTimeout, err.Error())
@@ -203,7 +235,7 @@
 	case err == nil:
 	case errors.Is(err, io.EOF):
 		if a.framed && !a.complete && isChunked(a.body) {
-			if trailerErr := skipTrailer(a.conn); trailerErr != nil {
+			if trailerErr := skipTrailer(a.conn.r); trailerErr != nil {
 				return n, errors.Wrap(ErrIncomplete, trailerErr.Error())
 			}
 		}
@@ -219,16 +251,10 @@
 func (a *Answer) SetReadDeadline(deadline time.Time) error { return a.conn.SetReadDeadline(deadline) }
 
 // ReadAll reads the whole body. A body of more than limit bytes is an error that
-// wraps ErrIncomplete.
+// wraps ErrIncomplete. ErrOverBudget reports that too many bytes are held for other
+// answers.
 func (a *Answer) ReadAll(limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > limit {
-		return nil, errors.Wrapf(ErrIncomplete, "body exceeds %d bytes", limit)
-	}
-	return body, nil
+	return readBounded(a, limit, a.bodies)
 }
 
 // Close ends the exchange. The connection is kept for the next one if the whole
@@ -299,19 +325,6 @@
 	return true
 }
 
-// skipTrailer reads and ignores the trailer section after the last chunk.
-func skipTrailer(cn *conn) error {
-	for {
-		line, err := cn.r.ReadString('\n')
-		if err != nil {
-			return err
-		}
-		if strings.TrimRight(line, "\r\n") == "" {
-			return nil
-		}
-	}
-}
-
 // DisableReuse makes Close close the connection. It is for a peer that broke the
 // protocol.
 func (a *Answer) DisableReuse() { a.reusable = false }
--- a/pkg/upstream/message.go
+++ b/pkg/upstream/message.go
@@ -80,6 +80,9 @@
 	// NewConn asks for a new connection: the peer may be closing a reused one, and
 	// a reset would leave unknown whether the request ran.
 	NewConn bool
+	// Belongs reports whether an answer, whose head has been read, belongs to the
+	// request; nil if that cannot be told.
+	Belongs func(*Answer) bool
 }
 
 // encode returns the request as it is sent. It has a Content-Length if it has a
