Roles: count peaks for 40 s

A burst as large had been there before, and was forgotten after 15 s.

Change: PeakWindow, 40 s, apart from the cooldown of single engines.

--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -55,11 +55,11 @@
 // workPeaks holds the peaks of a service's work.
 type workPeaks struct{ prefill, decode roles.PeakHold }
 
-// peakWork returns the largest work of a service in the last cooldown.
+// peakWork returns the largest work of a service in the last PeakWindow.
 func (d *duties) peakWork(service string, work roles.Work, now time.Time) roles.Work {
 	p := d.peaks[service]
 	if p == nil {
-		p = &workPeaks{roles.PeakHold{Window: d.roles.Cooldown}, roles.PeakHold{Window: d.roles.Cooldown}}
+		p = &workPeaks{roles.PeakHold{Window: d.roles.PeakWindow}, roles.PeakHold{Window: d.roles.PeakWindow}}
 		d.peaks[service] = p
 	}
 	return roles.Work{Prefill: p.prefill.Observe(work.Prefill, now), Decode: p.decode.Observe(work.Decode, now)}
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -28,9 +28,9 @@
 	// MinGain is the least decrease of the load of the busier phase for which
 	// engines change under load.
 	MinGain float64
-	// Cooldown is the least time between two changes of one engine, and the time
-	// for which a peak counts.
-	Cooldown time.Duration
+	// Cooldown is the least time between two changes of one engine. PeakWindow is
+	// the time for which a peak counts: bursts come again within it.
+	Cooldown, PeakWindow time.Duration
 	// MaxChangingShare bounds the share of engines that change at the same time
 	// under load.
 	MaxChangingShare float64
@@ -40,7 +40,7 @@
 // six with 64 slots decodes, and at least three engines. A burst then needs no role
 // change, which would take an engine out of service for seconds.
 func DefaultSplitRolePolicy() SplitRolePolicy {
-	return SplitRolePolicy{BaseDecodeSlots: 64.0 / 6, MinDecode: 3, MaxPeakUtilization: 0.7, MinGain: 0.05, Cooldown: 15 * time.Second, MaxChangingShare: 0.17}
+	return SplitRolePolicy{BaseDecodeSlots: 64.0 / 6, MinDecode: 3, MaxPeakUtilization: 0.7, MinGain: 0.05, Cooldown: 15 * time.Second, PeakWindow: 40 * time.Second, MaxChangingShare: 0.17}
 }
 
 const (
--- a/pkg/roles/split_test.go
+++ b/pkg/roles/split_test.go
@@ -62,7 +62,7 @@
 	p := DefaultSplitRolePolicy()
 	engines := splitFleet(12, 3)
 	changes := 0
-	prefillPeak, decodePeak := PeakHold{Window: p.Cooldown}, PeakHold{Window: p.Cooldown}
+	prefillPeak, decodePeak := PeakHold{Window: p.PeakWindow}, PeakHold{Window: p.PeakWindow}
 	for step := range 120 { // one minute, a decision every 500 ms
 		now := splitStart.Add(time.Duration(step) * 500 * time.Millisecond)
 		work := Work{Prefill: 4, Decode: 1}
