--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -129,6 +129,7 @@
 	phaseBlocked            = 3 // the engine takes no work for WorkMicros
 	phaseEjected            = 4 // the sender has ejected the endpoint
 	phaseEjectedUnreachable = 5 // the sender has ejected the endpoint and could not reach it
+	phaseCached             = 6 // the engine holds the parts
 )
 
 // Options configure an Exchange. All functions must be set. Those that start
@@ -142,6 +143,8 @@
 	LinkBytesPerSecond float64
 	// OnSend receives the sends of other hosts to engines.
 	OnSend func(service string, sent placement.SendReport)
+	// OnCached receives parts that an engine holds.
+	OnCached func(service, engine string, parts []placement.Part)
 	// OnBlock receives an engine that takes no work for the time d.
 	OnBlock func(service, engine string, d time.Duration)
 	// OnEject receives an endpoint that another host has ejected; unreachable
@@ -270,12 +273,40 @@
 	if sent.Role == endpoint.RoleDecode {
 		r.Phase = phaseDecode
 	}
-	for _, p := range sent.Parts {
+	r.setParts(sent.Parts)
+	x.enqueueSend(r)
+}
+
+// ReportCached queues the report that an engine holds parts. It returns false if too
+// many reports are queued; the caller may try again later.
+func (x *Exchange) ReportCached(service, engine string, parts []placement.Part) bool {
+	r := report{Service: service, Engine: engine, Phase: phaseCached}
+	r.setParts(parts)
+	return x.enqueueSend(r)
+}
+
+func (r *report) setParts(parts []placement.Part) {
+	for _, p := range parts {
 		r.Parts = append(r.Parts, p.ID)
 		r.Sizes = append(r.Sizes, p.Tokens)
 	}
+}
+
+// parts returns the parts of a report, whose Parts and Sizes have the same length.
+func (r report) parts() []placement.Part {
+	var parts []placement.Part
+	for i, id := range r.Parts {
+		parts = append(parts, placement.Part{ID: id, Tokens: r.Sizes[i]})
+	}
+	return parts
+}
+
+// enqueueSend queues a report that may go through a relay. It returns false if too
+// many are queued.
+func (x *Exchange) enqueueSend(r report) bool {
 	x.mu.Lock()
-	if len(x.sends) < maxQueuedReports {
+	queued := len(x.sends) < maxQueuedReports
+	if queued {
 		x.sends = append(x.sends, r)
 	}
 	x.mu.Unlock()
@@ -283,6 +314,7 @@
 	case x.sendWake <- struct{}{}:
 	default:
 	}
+	return queued
 }
 
 // ReportBlock queues the report that an engine takes no work for the time d.
@@ -601,14 +633,14 @@
 		case phaseEjected, phaseEjectedUnreachable:
 			x.opts.OnEject(r.Engine, host, r.Phase == phaseEjectedUnreachable)
 			continue
+		case phaseCached:
+			x.opts.OnCached(r.Service, r.Engine, r.parts())
+			continue
 		}
-		sent := placement.SendReport{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros}
+		sent := placement.SendReport{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Parts: r.parts()}
 		if r.Phase == phaseDecode {
 			sent.Role = endpoint.RoleDecode
 		}
-		for i, id := range r.Parts {
-			sent.Parts = append(sent.Parts, placement.Part{ID: id, Tokens: r.Sizes[i]})
-		}
 		x.opts.OnSend(r.Service, sent)
 	}
 }
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -47,7 +47,10 @@
 	}
 	n := &node{conn: conn, blocked: map[string]time.Duration{}}
 	opts := Options{Host: name, Conn: conn, Log: logging.Discard(), Leads: func() bool { return false },
-		OnSend:  func(_ string, s placement.SendReport) { n.record(func() { n.sends = append(n.sends, s) }) },
+		OnSend: func(_ string, s placement.SendReport) { n.record(func() { n.sends = append(n.sends, s) }) },
+		OnCached: func(_, engine string, parts []placement.Part) {
+			n.record(func() { n.sends = append(n.sends, placement.SendReport{EngineID: "cached " + engine, Parts: parts}) })
+		},
 		OnBlock: func(_, engine string, d time.Duration) { n.record(func() { n.blocked[engine] = d }) },
 		OnEject: func(endpoint, host string, unreachable bool) {
 			n.record(func() { n.ejected = append(n.ejected, fmt.Sprintf("%s of %s, %t", endpoint, host, unreachable)) })
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -204,6 +204,15 @@
 	}
 }
 
+// ApplyCached records that an engine holds parts, as it says itself.
+func (m *Model) ApplyCached(engineID string, parts []Part, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.engines[engineID]; e != nil {
+		e.cache.add(parts, now)
+	}
+}
+
 const (
 	// defaultStreamTime is the assumed time of a stream until some have been
 	// measured. streamTimeGain is the weight of one measurement.
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -16,6 +16,7 @@
 	"github.com/clementineshed/clementineshed/pkg/lease"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/orders"
+	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/roles"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/steadyclock"
@@ -103,6 +104,8 @@
 	usage.WindowInterface
 	// Report asks an engine for its role and the state of its orders.
 	Report(ctx context.Context, m fleet.Member) (EngineReport, error)
+	// CachedParts returns the parts of prompts that an engine holds.
+	CachedParts(ctx context.Context, m fleet.Member) ([]placement.Part, error)
 	// SetRole orders an engine to take a role, on the condition that it has
 	// accepted exactly the expected number of orders.
 	SetRole(ctx context.Context, m fleet.Member, role endpoint.Role, expected int64, by Authority) error
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -181,7 +181,7 @@
 		return errors.Wrap(err, "listen for load reports of other hosts")
 	}
 	defer func() { _ = peerConn.Close() }()
-	h.exchange = loadshare.New(loadshare.Options{Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, OnSend: h.applyPeerSend, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnUsage: h.acceptUsage, ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log})
+	h.exchange = loadshare.New(loadshare.Options{Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnUsage: h.acceptUsage, ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log})
 	h.duties = newDuties(h, h.adapter.LogService, h.adapter.Platform)
 	workCtx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -193,6 +193,7 @@
 	wg.Go(func() { h.exchange.Run(workCtx) })
 	wg.Go(func() { h.duties.run(workCtx) })
 	wg.Go(func() { h.runHousekeeping(workCtx) })
+	wg.Go(func() { h.recoverCaches(workCtx) })
 	wg.Go(func() { h.serveReady(ready) })
 	if metrics != nil {
 		wg.Go(func() { h.serveMetrics(metrics) })
