Publish only announcements that change something

Change: a leader publishes the records of a page that change its state, and the offset up to which it has read. The registry keeps its lists when an announcement repeats the last one. An announcement that ends a lapse counts as a change.

Result: by test (TestRepeatedRecordsAreNotPublished: 1 of 151 records).

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -55,6 +55,9 @@
 	Restarted Change = "restarted"
 	// Updated means that the role, address, state or models changed.
 	Updated Change = "changed"
+	// Confirmed means that the announcement had lapsed in an outage of the store and
+	// the endpoint has announced itself again.
+	Confirmed Change = "confirmed"
 	// Leaving means that the endpoint is no longer live.
 	Leaving Change = "leaving"
 	// Removed means that the announcement lapsed and the endpoint was removed.
@@ -76,7 +79,8 @@
 	storeAnsweredAt, storeRecoveredAt time.Time
 	version                           int64
 	// membersByService caches the results of Members. Each change of a member
-	// clears it.
+	// clears it; an announcement that only repeats the last one does not, so that
+	// the cached members may have an earlier Sequence.
 	membersByService map[string][]Member
 }
 
@@ -114,6 +118,7 @@
 	if known && m.olderThan(old) {
 		return Unchanged
 	}
+	_, lapsed := r.lapsedAt[m.ID]
 	delete(r.lapsedAt, m.ID)
 	change := Unchanged
 	switch {
@@ -123,12 +128,14 @@
 		change = Restarted
 	case old.State == endpoint.StateLive && m.State != endpoint.StateLive:
 		change = Leaving
-	case old.Role != m.Role || old.Address != m.Address || old.State != m.State || !slices.Equal(old.Models, m.Models):
+	case old.Role != m.Role || old.Address != m.Address || old.State != m.State || !slices.Equal(old.Models, m.Models), old.Slots != m.Slots, (old.WarmupRemaining > 0) != (m.WarmupRemaining > 0):
 		change = Updated
+	case lapsed:
+		change = Confirmed
 	}
 	r.members[m.ID] = m
-	clear(r.membersByService)
 	if change != Unchanged {
+		clear(r.membersByService)
 		r.version++
 	}
 	return change
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -99,3 +99,37 @@
 		t.Errorf("removed %v", gone)
 	}
 }
+
+// TestRepeatedAnnouncementChangesNothing guards against the cost of announcements that
+// endpoints write again each second: with a thousand endpoints, each request had the
+// list of members sorted anew.
+func TestRepeatedAnnouncementChangesNothing(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(member("a", 1, 1, endpoint.StateLive))
+	version, list := r.Version(), r.Members("s")
+	if change := r.Announce(member("a", 1, 2, endpoint.StateLive)); change != Unchanged || r.Version() != version {
+		t.Errorf("change %q, version %d after %d", change, r.Version(), version)
+	}
+	if again := r.Members("s"); &again[0] != &list[0] {
+		t.Error("the list of members was built again")
+	}
+	if change := r.Announce(member("a", 1, 3, endpoint.StateLeaving)); change != Leaving || r.Members("s")[0].State != endpoint.StateLeaving {
+		t.Errorf("change %q, members %+v", change, r.Members("s"))
+	}
+}
+
+// TestAnnouncementAfterLapseIsAChange guards against an endpoint that other hosts give
+// up after an outage of the store: a leader does not pass on announcements that
+// change nothing, and this one ends their wait.
+func TestAnnouncementAfterLapseIsAChange(t *testing.T) {
+	r := NewRegistry()
+	now := time.Now()
+	r.Announce(member("a", 1, 1, endpoint.StateLive))
+	r.StoreAnswered(now)
+	if change := r.Remove("a", now.Add(outageThreshold+time.Second)); change != Retained {
+		t.Fatalf("change %q", change)
+	}
+	if change := r.Announce(member("a", 1, 2, endpoint.StateLive)); change != Confirmed {
+		t.Errorf("change %q, want %q", change, Confirmed)
+	}
+}
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -79,8 +79,9 @@
 	// bounds their rate. Nil sets no bound.
 	MinInterval func() time.Duration
 	// Apply receives changes. Of the changes to one key that arrive together it
-	// receives only the newest.
-	Apply func(Record)
+	// receives only the newest. It reports whether the record changes the state;
+	// leaders publish only those that do.
+	Apply func(Record) bool
 	// Reset receives the newest records of all keys, which replace the state.
 	Reset func([]Record)
 	// OnAnswer, if set, is called after each read that the store answered.
@@ -231,14 +232,20 @@
 	if err != nil {
 		return err
 	}
+	published := page
+	published.Records = nil
 	for _, r := range newestPerKey(page.Records) {
-		f.opts.Apply(r)
+		if f.opts.Apply(r) {
+			published.Records = append(published.Records, r)
+		}
 	}
 	f.next.Store(page.Next)
 	// After a partial read the state is reloaded: the remaining records replace
 	// values of the same keys.
 	f.synced = page.Next >= page.End
-	f.publish(from, page)
+	if len(page.Records) > 0 {
+		f.publish(from, published)
+	}
 	return nil
 }
 
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -120,13 +120,15 @@
 	values map[string]string
 }
 
-func (s *state) apply(r Record) {
+func (s *state) apply(r Record) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old, known := s.values[r.Key]
 	s.values[r.Key] = string(r.Value)
 	if r.Dropped {
 		delete(s.values, r.Key)
 	}
+	return r.Dropped || !known || old != string(r.Value)
 }
 
 func (s *state) reset(records []Record) {
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -38,8 +38,10 @@
 	// host that is cut off from the others takes as long to notice it.
 	MaxConfirmationAge time.Duration
 	// Publish receives each page with records that this host has read as a
-	// leader, and the offset from which it was read. If it is nil, the other
-	// hosts read the records themselves.
+	// leader, and the offset from which it was read. The page has only the records
+	// that change the state: endpoints write their announcements again each second,
+	// and the other hosts would spend most of their control work on these. If it is
+	// nil, the other hosts read the records themselves.
 	Publish func(from int64, page Page)
 }
 
@@ -174,7 +176,7 @@
 
 func (f *Follower) publish(from int64, page Page) {
 	s := f.opts.Sharing
-	if s != nil && s.Publish != nil && len(page.Records) > 0 && s.Leads() {
+	if s != nil && s.Publish != nil && s.Leads() {
 		s.Publish(from, page)
 	}
 }
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -208,7 +209,7 @@
 // against records that are applied twice.
 func TestOffersAreApplied(t *testing.T) {
 	var applied []string
-	f := NewFollower(Options{Apply: func(r Record) { applied = append(applied, string(r.Value)) }})
+	f := NewFollower(Options{Apply: func(r Record) bool { applied = append(applied, string(r.Value)); return true }})
 	f.next.Store(5)
 	record := func(offset int64, value string) Record {
 		return Record{Key: value, Value: []byte(value), Offset: offset}
@@ -262,3 +263,55 @@
 		t.Error("the host waits although the store has answered no host for MaxConfirmationAge")
 	}
 }
+
+// TestRepeatedRecordsAreNotPublished guards against control work that grows with the
+// endpoints although nothing changes: they write their announcements again each
+// second. The other hosts must still learn how far the leader has read, or each of
+// them would read the records itself.
+func TestRepeatedRecordsAreNotPublished(t *testing.T) {
+	l := newFakeLog()
+	for i := range 50 {
+		l.put(fmt.Sprint("key-", i), "same")
+	}
+	var mu sync.Mutex
+	published, next := 0, int64(0)
+	s := &state{values: map[string]string{}}
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 100 * time.Millisecond },
+		Apply: s.apply, Reset: s.reset, Log: logging.Discard(),
+		Sharing: &Sharing{MaxConfirmationAge: testMaxConfirmationAge, Leads: func() bool { return true },
+			Publish: func(_ int64, page Page) {
+				mu.Lock()
+				defer mu.Unlock()
+				published, next = published+len(page.Records), page.Next
+			}}})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	synced := time.Now().Add(5 * time.Second)
+	for reached, _ := f.Progress(); reached < 50 && time.Now().Before(synced); reached, _ = f.Progress() {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		for i := range 50 {
+			l.put(fmt.Sprint("key-", i), "same")
+		}
+	}
+	l.put("key-7", "changed")
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		mu.Lock()
+		reached, records := next, published
+		mu.Unlock()
+		if reached == 201 {
+			if records != 1 {
+				t.Errorf("%d records published, want the one that changed", records)
+			}
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the published progress is %d, want 201", reached)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -106,7 +106,7 @@
 		// datagram. The hosts read it themselves once a leader reports a new
 		// one.
 		Sharing: &keyedlog.Sharing{Leads: h.leads, MaxConfirmationAge: maxConfirmationAge},
-		Apply:   h.applyConfiguration,
+		Apply:   func(r keyedlog.Record) bool { h.applyConfiguration(r); return true },
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
 				h.applyConfiguration(r)
@@ -157,9 +157,10 @@
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.KeyedLog, Topic: h.adapter.EndpointsTopic, PollWait: h.readWait,
 		MinInterval: func() time.Duration { return endpointsReadInterval }, Sharing: h.sharing(h.adapter.EndpointsTopic, maxConfirmationAge),
-		Apply: func(r keyedlog.Record) {
-			h.applyEndpoint(r)
+		Apply: func(r keyedlog.Record) bool {
+			changed := h.applyEndpoint(r)
 			h.refreshModels()
+			return changed
 		},
 		Reset:    h.resetEndpoints,
 		OnAnswer: func() { h.fleet.StoreAnswered(time.Now()) },
@@ -190,7 +191,9 @@
 	}
 }
 
-func (h *Host) applyEndpoint(r keyedlog.Record) {
+// applyEndpoint applies an announcement and reports whether it changes what is known
+// of the endpoint.
+func (h *Host) applyEndpoint(r keyedlog.Record) bool {
 	if r.Dropped {
 		change := h.fleet.Remove(r.Key, time.Now())
 		if change == fleet.Removed {
@@ -198,22 +201,23 @@
 		} else if change != fleet.Unchanged {
 			h.log.WithField("endpoint", r.Key).WithField("change", string(change)).Info("endpoint_changed")
 		}
-		return
+		return true
 	}
 	member, err := h.adapter.DecodeEndpoint(r.Key, r.Value)
 	if err != nil {
 		h.log.WithField("offset", r.Offset).WithError(err).Warn("announcement_not_usable")
-		return
+		return false
 	}
 	change := h.fleet.Announce(member)
 	if change == fleet.Unchanged {
-		return
+		return false
 	}
 	if change == fleet.Restarted {
 		h.forgetEndpoint(member.ID, member.Address)
 	}
 	h.log.WithFields(log.Fields{"endpoint": member.ID, "service": member.Service, "change": string(change),
 		"state": string(member.State), "role": string(member.Role), "offset": r.Offset}).Info("endpoint_changed")
+	return true
 }
 
 // endpointGone logs that an endpoint has left and drops its outlier state.
