Heartbeats over relays, fewer role changes, later reductions

Cause: with the reports on relays, the heartbeats of everyone to everyone were the most datagrams left (147 a second and host each way at 295 hosts, computed); each new configuration made every host tell all others.

Change: hosts that do not lead send heartbeats to the two relays of their domain, which tell their domain and their counterparts in the others whom they hear. A domain of which nobody is heard is told by random hosts. The fleet is reduced only below a load of 0.1. Roles change when the busier phase gains 0.12.

--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -28,10 +27,10 @@
 	// durable endpoints, while fewer than half of the reclaimable ones are live.
 	FallbackShare float64
 	// A service that has been loaded for ObserveTime and whose peak load, as a share
-	// of its endpoints, is below LowLoad is reduced to TargetLoad, but not below
-	// MinFillShare of the limit. From GrowLoad on it is filled again.
-	ObserveTime                                 time.Duration
-	LowLoad, TargetLoad, GrowLoad, MinFillShare float64
+	// of its endpoints, is below LowLoad is reduced to MinFillShare of the limit. From
+	// GrowLoad on it is filled again.
+	ObserveTime                     time.Duration
+	LowLoad, GrowLoad, MinFillShare float64
 	// RetryAfter is the time after which a refused count is ordered again. A
 	// count that was not reached is ordered again after BootTime + RetryAfter.
 	RetryAfter time.Duration
@@ -42,7 +41,7 @@
 // slow.
 func DefaultFillReclaimable() FillReclaimable {
 	return FillReclaimable{Durable: 1, MaxPriceRatio: 0.4, FillShare: 1, FallbackShare: 0.5,
-		ObserveTime: 6 * time.Second, LowLoad: 0.2, TargetLoad: 0.35, GrowLoad: 0.5, MinFillShare: 0.5, RetryAfter: 3 * time.Second}
+		ObserveTime: 8 * time.Second, LowLoad: 0.1, GrowLoad: 0.3, MinFillShare: 0.5, RetryAfter: 3 * time.Second}
 }
 
 // Pool describes the endpoints of a service in one failure domain.
@@ -129,8 +128,7 @@
 	if !pool.Loaded || pool.LoadedFor < p.ObserveTime || pool.PeakLoad >= p.LowLoad {
 		return full
 	}
-	needed := int(math.Ceil(float64(pool.Durable+pool.Reclaimable) * pool.PeakLoad / p.TargetLoad))
-	return min(full, max(needed, int(p.MinFillShare*float64(pool.Max))))
+	return min(full, int(p.MinFillShare*float64(pool.Max)))
 }
 
 // due reports whether the wanted count must be ordered now: it differs from the
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -43,13 +43,11 @@
 	batchDelayUnit = 12 * time.Microsecond
 	// readErrorDelay is the wait after a failed read.
 	readErrorDelay = 10 * time.Millisecond
-	// heartbeatInterval is the longest time between two datagrams to a peer. A
-	// peer that has not been heard for liveTimeout does not count as live. With
-	// more than fullRatePeers peers, hosts that do not lead send fewer heartbeats,
-	// and these times and silenceThreshold grow with the peers.
+	// heartbeatInterval is the longest time between two datagrams to a peer, or to
+	// the relays among many hosts. A peer that has not been heard for liveTimeout does
+	// not count as live.
 	heartbeatInterval = time.Second
 	liveTimeout       = 3500 * time.Millisecond
-	fullRatePeers     = 150
 	// silenceThreshold is the time without a datagram after which a peer may
 	// have been cut off. handoverTime is how long such a peer takes, once it is
 	// heard again, to forward the usage counts that it has kept. awaitTimeout
@@ -184,26 +182,6 @@
 	peers map[string]*peer
 }
 
-// scale returns the factor by which the times of heartbeats grow. It must be called
-// with mu held.
-func (x *Exchange) scale() float64 { return max(1, float64(len(x.peers))/fullRatePeers) }
-
-// scaled returns a time of heartbeats for the present number of peers. It must be
-// called with mu held.
-func (x *Exchange) scaled(d time.Duration) time.Duration {
-	return time.Duration(x.scale() * float64(d))
-}
-
-// nextHeartbeat returns the time until the next heartbeat of this host.
-func (x *Exchange) nextHeartbeat() time.Duration {
-	if x.opts.Leads() {
-		return heartbeatInterval
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.scaled(heartbeatInterval)
-}
-
 // Member is a host that takes part in the exchange.
 type Member struct {
 	Host, Domain string
@@ -217,7 +195,8 @@
 	linkBytesPerSecond float64
 	// heardAt is when the peer was last heard, returnedAt when it was first
 	// heard after its last silence.
-	heardAt, returnedAt time.Time
+	// directAt is when a datagram of its own last arrived.
+	heardAt, returnedAt, directAt time.Time
 }
 
 // New returns an exchange that Run starts.
@@ -439,7 +418,7 @@
 	var addresses []netip.AddrPort
 	for _, host := range hosts {
 		p := x.peers[host]
-		if p != nil && len(addresses) < n && time.Since(p.heardAt) < x.scaled(liveTimeout) {
+		if p != nil && len(addresses) < n && time.Since(p.heardAt) < x.live() {
 			addresses = append(addresses, p.address)
 		}
 	}
@@ -468,7 +447,7 @@
 	defer x.mu.Unlock()
 	members := []Member{{x.opts.Host, x.opts.Domain, x.opts.LinkBytesPerSecond}}
 	for name, p := range x.peers {
-		if time.Since(p.heardAt) < x.scaled(liveTimeout) {
+		if time.Since(p.heardAt) < x.live() {
 			members = append(members, Member{name, p.domain, p.linkBytesPerSecond})
 		}
 	}
@@ -494,7 +473,7 @@
 		case <-timer.C:
 		}
 		x.sendReports()
-		timer.Reset(x.nextHeartbeat())
+		timer.Reset(heartbeatInterval)
 	}
 }
 
@@ -524,12 +503,17 @@
 	}
 }
 
-// runRelay passes on the reports of other hosts until ctx ends.
+// runRelay passes on the reports and heartbeats of other hosts until ctx ends.
 func (x *Exchange) runRelay(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case now := <-ticker.C:
+			x.passOnHeartbeats(now)
+			continue
 		case <-x.relay.wake:
 		}
 		sleep.For(ctx, relayMergeDelay)
@@ -550,7 +534,10 @@
 	queue := x.queue
 	x.queue = nil
 	x.mu.Unlock()
-	addresses := x.addresses()
+	addresses := x.heartbeatAddresses()
+	if len(queue) > 0 {
+		addresses = x.addresses()
+	}
 	for first := true; first || len(queue) > 0; first = false {
 		n := min(len(queue), maxDatagramBytes/reportBytes)
 		data, err := cbor.Marshal(message{Host: x.opts.Host, Reports: queue[:n], Followed: x.opts.ReadProgress()})
@@ -599,10 +586,8 @@
 	p := x.peers[m.Host]
 	if p != nil {
 		now := time.Now()
-		if now.Sub(p.heardAt) > x.scaled(silenceThreshold) {
-			p.returnedAt = now
-		}
-		p.heardAt = now
+		p.directAt = now
+		x.markHeard(p, now)
 	}
 	x.mu.Unlock()
 	if p == nil {
--- a/pkg/loadshare/relay.go
+++ b/pkg/loadshare/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -13,16 +14,25 @@
 )
 
 const (
-	// relayMinPeers is the number of peers from which on the reports of sends go
-	// through relays. With fewer, a host sends them to each peer itself.
+	// relayMinPeers is the number of peers from which on heartbeats and the reports
+	// of sends go through relays. With fewer, a host sends them to each peer itself.
 	relayMinPeers = 24
+	// relaysPerDomain is the number of hosts that pass on heartbeats, one of which
+	// may be lost. Only the first one relays reports, which must not arrive twice.
+	relaysPerDomain = 2
 	// relaySendDelay is the time for which a host batches its reports for a relay,
 	// relayMergeDelay the time for which a relay merges those of other hosts.
 	relaySendDelay  = 30 * time.Millisecond
 	relayMergeDelay = 20 * time.Millisecond
-	// relayTimeout is the silence after which another relay is chosen. It covers a
-	// lost heartbeat.
-	relayTimeout = 2500 * time.Millisecond
+	// directTimeout is how long a relay lists a host as heard after its last
+	// datagram; heartbeats are a second apart.
+	directTimeout = 1700 * time.Millisecond
+	// relayTimeout is the silence after which another relay is chosen, relayedLive
+	// and relayedSilence take the place of liveTimeout and silenceThreshold. A relayed
+	// heartbeat is up to 2.2 s old, and one of them may be lost.
+	relayTimeout   = 3500 * time.Millisecond
+	relayedLive    = 5 * time.Second
+	relayedSilence = 3500 * time.Millisecond
 	// relayLinkFraction is the part of a relay's link that relayed reports may use;
 	// the rest are dropped. relayBurstTime is the time for which they may occupy the
 	// link at once.
@@ -44,6 +54,10 @@
 	stageAcross = 2
 	// stageToHosts is from a relay to the hosts of its failure domain.
 	stageToHosts = 3
+	// stageHeard and stageHeardAcross tell which hosts a relay has heard, its own
+	// domain and the relays of the others.
+	stageHeard       = 4
+	stageHeardAcross = 5
 )
 
 // batch holds reports of one host.
@@ -62,41 +76,53 @@
 	_       struct{} `cbor:",toarray"`
 	Stage   uint8
 	Batches []batch
+	// Heard names the hosts that the sender has heard.
+	Heard []string
 }
 
 // envelopeHeader is the first byte of the encoding of an envelope (RFC 8949, an
-// array of two elements).
-const envelopeHeader = 0x82
+// array of three elements).
+const envelopeHeader = 0x83
 
-// chooseRelay returns the name of the host that relays for a failure domain, or ""
-// if there is none. Hosts with wide links come first, because a relay sends to every
-// host of its domain. Hosts that hear the same members choose the same one.
+// chooseRelays returns the names of the hosts that relay for a failure domain, most
+// preferred first. It sorts members. Hosts with wide links come first, because a relay
+// sends to every host of its domain. Hosts that hear the same members choose the same
+// ones.
 //
-// Load pattern: hundreds of hosts that each report every send to all others. The
+// Load pattern: hundreds of hosts that each report every send to all others, and tell
+// each of them that they live. The
 // datagrams grow with the square of the hosts and the bytes between failure domains
 // with their product. With relays each report crosses once to each other domain, and
 // a host receives few full datagrams instead of many small ones.
-func chooseRelay(members []Member) string {
-	if len(members) == 0 {
-		return ""
-	}
-	return slices.MinFunc(members, func(a, b Member) int {
+func chooseRelays(members []Member) []string {
+	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.LinkBytesPerSecond, a.LinkBytesPerSecond),
 			cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)), strings.Compare(a.Host, b.Host))
-	}).Host
+	})
+	var names []string
+	for _, m := range members[:min(len(members), relaysPerDomain)] {
+		names = append(names, m.Host)
+	}
+	return names
 }
 
 // topology says where relayed reports go.
 type topology struct {
 	// relayed is false if there are too few peers.
 	relayed bool
-	// own is the address of the relay of this host's failure domain. It is not valid
-	// if this host is the relay, or if there is none.
-	own     netip.AddrPort
-	isRelay bool
-	// domain holds the addresses of the other hosts in this host's failure domain,
-	// others those of the relays of the other domains.
-	domain, others []netip.AddrPort
+	// own holds the addresses of the relays of this host's failure domain, without
+	// this host itself.
+	own []netip.AddrPort
+	// isRelay is set if this host relays the reports of its domain, passesHeartbeats
+	// if it is one of those that pass on heartbeats.
+	isRelay, passesHeartbeats bool
+	// domain holds the addresses of the other hosts in this host's failure domain.
+	domain []netip.AddrPort
+	// others holds the addresses of the relays of reports in the other domains.
+	// othersHeartbeats holds, for each other domain, the relay with the same rank as
+	// this host, so that a heartbeat takes two ways. For a domain of which no host is
+	// heard it holds random hosts: its relays may have been lost together.
+	others, othersHeartbeats []netip.AddrPort
 }
 
 func (x *Exchange) topology(now time.Time) topology {
@@ -107,24 +133,35 @@
 	}
 	t := topology{relayed: true}
 	members := map[string][]Member{x.opts.Domain: {{Host: x.opts.Host, Domain: x.opts.Domain, LinkBytesPerSecond: x.opts.LinkBytesPerSecond}}}
+	silent := map[string][]netip.AddrPort{}
 	for name, p := range x.peers {
 		if p.domain == x.opts.Domain {
 			t.domain = append(t.domain, p.address)
+		} else {
+			silent[p.domain] = append(silent[p.domain], p.address)
 		}
-		if now.Sub(p.heardAt) < x.scaled(relayTimeout) {
+		if now.Sub(p.heardAt) < relayTimeout {
 			members[p.domain] = append(members[p.domain], Member{Host: name, Domain: p.domain, LinkBytesPerSecond: p.linkBytesPerSecond})
 		}
 	}
-	for domain, list := range members {
-		relay := chooseRelay(list)
-		switch {
-		case domain != x.opts.Domain:
-			t.others = append(t.others, x.peers[relay].address)
-		case relay == x.opts.Host:
-			t.isRelay = true
-		default:
-			t.own = x.peers[relay].address
+	rank := 0
+	for i, relay := range chooseRelays(members[x.opts.Domain]) {
+		if relay == x.opts.Host {
+			rank, t.isRelay, t.passesHeartbeats = i, i == 0, true
+			continue
 		}
+		t.own = append(t.own, x.peers[relay].address)
+	}
+	delete(members, x.opts.Domain)
+	for domain, list := range members {
+		delete(silent, domain)
+		relays := chooseRelays(list)
+		t.others = append(t.others, x.peers[relays[0]].address)
+		t.othersHeartbeats = append(t.othersHeartbeats, x.peers[relays[min(rank, len(relays)-1)]].address)
+	}
+	for _, addresses := range silent {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		t.othersHeartbeats = append(t.othersHeartbeats, addresses[:min(len(addresses), relaysPerDomain)]...)
 	}
 	return t
 }
@@ -157,8 +194,78 @@
 			x.keep([]batch{b}, stageToRelay)
 			continue
 		}
-		x.sendEnvelope(envelope{Stage: stageToRelay, Batches: []batch{b}}, []netip.AddrPort{t.own})
+		x.sendEnvelope(envelope{Stage: stageToRelay, Batches: []batch{b}}, t.own[:min(len(t.own), 1)])
+	}
+}
+
+// heartbeatAddresses returns where heartbeats of this host go. Leaders send them to
+// every host, because the others need their progress at once.
+func (x *Exchange) heartbeatAddresses() []netip.AddrPort {
+	t := x.topology(time.Now())
+	if !t.relayed || x.opts.Leads() {
+		return x.addresses()
+	}
+	return t.own
+}
+
+// passOnHeartbeats tells the hosts of this domain, and the relays of the others, which
+// hosts of this domain this host has heard. It does nothing on a host that does not
+// relay.
+func (x *Exchange) passOnHeartbeats(now time.Time) {
+	t := x.topology(now)
+	if !t.passesHeartbeats {
+		return
+	}
+	heard := []string{x.opts.Host}
+	x.mu.Lock()
+	for name, p := range x.peers {
+		if p.domain == x.opts.Domain && now.Sub(p.directAt) < directTimeout {
+			heard = append(heard, name)
+		}
+	}
+	x.mu.Unlock()
+	x.sendEnvelope(envelope{Stage: stageHeard, Heard: heard}, t.domain)
+	x.sendEnvelope(envelope{Stage: stageHeardAcross, Heard: heard}, t.othersHeartbeats)
+}
+
+// applyHeard marks the hosts of a list as heard. A relay passes a list of another
+// domain on to its own.
+func (x *Exchange) applyHeard(e envelope) {
+	x.mu.Lock()
+	now := time.Now()
+	for _, name := range e.Heard {
+		if p := x.peers[name]; p != nil {
+			x.markHeard(p, now)
+		}
+	}
+	x.mu.Unlock()
+	if e.Stage == stageHeardAcross {
+		x.sendEnvelope(envelope{Stage: stageHeard, Heard: e.Heard}, x.topology(now).domain)
+	}
+}
+
+// markHeard records that a peer lives. It must be called with mu held.
+func (x *Exchange) markHeard(p *peer, now time.Time) {
+	if now.Sub(p.heardAt) > x.silence() {
+		p.returnedAt = now
 	}
+	p.heardAt = now
+}
+
+// live returns the silence up to which a peer counts as live, silence that after which
+// it may have been cut off. They must be called with mu held.
+func (x *Exchange) live() time.Duration {
+	if len(x.peers) >= relayMinPeers {
+		return relayedLive
+	}
+	return liveTimeout
+}
+
+func (x *Exchange) silence() time.Duration {
+	if len(x.peers) >= relayMinPeers {
+		return relayedSilence
+	}
+	return silenceThreshold
 }
 
 // sendEnvelope reports whether the link had room for it.
@@ -238,11 +345,22 @@
 // applyEnvelope applies relayed reports and keeps those that this host passes on.
 // It ignores batches of unknown hosts.
 func (x *Exchange) applyEnvelope(e envelope) {
+	if e.Stage == stageHeard || e.Stage == stageHeardAcross {
+		x.applyHeard(e)
+		return
+	}
 	known := e.Batches[:0]
 	x.mu.Lock()
+	now := time.Now()
 	for _, b := range e.Batches {
-		if x.peers[b.Host] != nil {
-			known = append(known, b)
+		p := x.peers[b.Host]
+		if p == nil {
+			continue
+		}
+		known = append(known, b)
+		if e.Stage == stageToRelay {
+			p.directAt = now
+			x.markHeard(p, now)
 		}
 	}
 	x.mu.Unlock()
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -40,7 +40,7 @@
 // six with 64 slots decodes, and at least three engines. A burst then needs no role
 // change, which would take an engine out of service for seconds.
 func DefaultSplitRolePolicy() SplitRolePolicy {
-	return SplitRolePolicy{BaseDecodeSlots: 64.0 / 6, MinDecode: 3, MaxPeakUtilization: 0.7, MinGain: 0.05, Cooldown: 15 * time.Second, PeakWindow: 40 * time.Second, MaxChangingShare: 0.17}
+	return SplitRolePolicy{BaseDecodeSlots: 64.0 / 6, MinDecode: 3, MaxPeakUtilization: 0.7, MinGain: 0.12, Cooldown: 15 * time.Second, PeakWindow: 40 * time.Second, MaxChangingShare: 0.17}
 }
 
 const (
