loadshare: heartbeats do not share the limit of relayed reports

Cause: a relay with many reports dropped its lists of hosts that it has heard with them, so that its domain counted as lost. Found by reading.

Change: sendHeard sends them in any case; they are 1 KB a second and host. SortByLink is one function for relays and leaders.

--- a/pkg/loadshare/relay.go
+++ b/pkg/loadshare/relay.go
@@ -46,7 +46,7 @@
 	maxRelayedBatches = 4096
 )
 
-// Stages of a relayed report.
+// Stages of a relayed report or heartbeat.
 const (
 	// stageToRelay is from a host to the relay of its failure domain.
 	stageToRelay = 1
@@ -70,8 +70,8 @@
 // size estimates the encoded size of a batch in bytes.
 func (b batch) size() int { return batchOverheadBytes + len(b.Reports)*reportBytes }
 
-// envelope is a datagram with relayed reports. Its encoding is an array of a length
-// that no message has.
+// envelope is a datagram with relayed reports or heartbeats. Its encoding is an array
+// of a length that no message has.
 type envelope struct {
 	_       struct{} `cbor:",toarray"`
 	Stage   uint8
@@ -84,21 +84,27 @@
 // array of three elements).
 const envelopeHeader = 0x83
 
+// SortByLink sorts hosts by the width of their links, widest first. Among equal ones
+// the order is that of a hash of their names, the same on every host.
+func SortByLink(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.LinkBytesPerSecond, a.LinkBytesPerSecond),
+			cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)), strings.Compare(a.Host, b.Host))
+	})
+}
+
 // chooseRelays returns the names of the hosts that relay for a failure domain, most
 // preferred first. It sorts members. Hosts with wide links come first, because a relay
 // sends to every host of its domain. Hosts that hear the same members choose the same
 // ones.
 //
-// Load pattern: hundreds of hosts that each report every send to all others, and tell
-// each of them that they live. The
-// datagrams grow with the square of the hosts and the bytes between failure domains
-// with their product. With relays each report crosses once to each other domain, and
-// a host receives few full datagrams instead of many small ones.
+// Load pattern: hundreds of hosts, each of which tells all others of every send and
+// that it lives. The datagrams grow with the square of the hosts, and the bytes between
+// failure domains with the product of hosts and requests. With relays each report
+// crosses once to each other domain, and a host receives few full datagrams instead of
+// many small ones.
 func chooseRelays(members []Member) []string {
-	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.LinkBytesPerSecond, a.LinkBytesPerSecond),
-			cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)), strings.Compare(a.Host, b.Host))
-	})
+	SortByLink(members)
 	var names []string
 	for _, m := range members[:min(len(members), relaysPerDomain)] {
 		names = append(names, m.Host)
@@ -106,7 +112,7 @@
 	return names
 }
 
-// topology says where relayed reports go.
+// topology says where relayed reports and heartbeats go.
 type topology struct {
 	// relayed is false if there are too few peers.
 	relayed bool
@@ -125,6 +131,7 @@
 	others, othersHeartbeats []netip.AddrPort
 }
 
+// topology computes the topology from the hosts that were heard up to now.
 func (x *Exchange) topology(now time.Time) topology {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -224,8 +231,19 @@
 		}
 	}
 	x.mu.Unlock()
-	x.sendEnvelope(envelope{Stage: stageHeard, Heard: heard}, t.domain)
-	x.sendEnvelope(envelope{Stage: stageHeardAcross, Heard: heard}, t.othersHeartbeats)
+	x.sendHeard(stageHeard, heard, t.domain)
+	x.sendHeard(stageHeardAcross, heard, t.othersHeartbeats)
+}
+
+// sendHeard sends the names of hosts that were heard. It does not share the limit of
+// reports: hosts would count as lost whenever a relay has many reports.
+func (x *Exchange) sendHeard(stage uint8, hosts []string, addresses []netip.AddrPort) {
+	data, err := cbor.Marshal(envelope{Stage: stage, Heard: hosts})
+	if err != nil {
+		x.opts.Log.WithError(err).Error("heartbeat_not_encoded")
+		return
+	}
+	x.send(data, addresses)
 }
 
 // applyHeard marks the hosts of a list as heard. A relay passes a list of another
@@ -240,7 +258,7 @@
 	}
 	x.mu.Unlock()
 	if e.Stage == stageHeardAcross {
-		x.sendEnvelope(envelope{Stage: stageHeard, Heard: e.Heard}, x.topology(now).domain)
+		x.sendHeard(stageHeard, e.Heard, x.topology(now).domain)
 	}
 }
 
--- a/pkg/relayhost/candidates.go
+++ b/pkg/relayhost/candidates.go
@@ -1,11 +1,7 @@
 package relayhost
 
 import (
-	"cmp"
 	"slices"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementineshed/clementineshed/pkg/loadshare"
 )
@@ -17,10 +13,7 @@
 // a domain may be lost. Hosts that hear each other compute the same result,
 // regardless of their start order.
 func rankHosts(hosts []loadshare.Member, n int) []string {
-	slices.SortFunc(hosts, func(a, b loadshare.Member) int {
-		return cmp.Or(cmp.Compare(b.LinkBytesPerSecond, a.LinkBytesPerSecond),
-			cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)), strings.Compare(a.Host, b.Host))
-	})
+	loadshare.SortByLink(hosts)
 	names := make([]string, 0, n)
 	if len(hosts) == 0 {
 		return names
