Start of hundreds of hosts: one refresh per page, later leaders

Cause: on the large site each host refreshed its placement models for each record of a page, at the cost of all endpoints, while 474 endpoints joined at once and 314 changed their role. At the first start the store does not know the hosts yet: 109 of 295 took themselves for candidates and leaders, read the store as such and sent pages to everyone.

Change: Follower.Applied is called once per page. At the first start of all hosts (settings, bootstrap) a host leads only after 2.2 s, within which it reads the addresses of the hosts twice.

--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -82,6 +82,8 @@
 	// receives only the newest. It reports whether the record changes the state;
 	// leaders publish only those that do.
 	Apply func(Record) bool
+	// Applied, if set, is called once after the changes that arrived together.
+	Applied func()
 	// Reset receives the newest records of all keys, which replace the state.
 	Reset func([]Record)
 	// OnAnswer, if set, is called after each read that the store answered.
@@ -233,12 +235,7 @@
 		return err
 	}
 	published := page
-	published.Records = nil
-	for _, r := range newestPerKey(page.Records) {
-		if f.opts.Apply(r) {
-			published.Records = append(published.Records, r)
-		}
-	}
+	published.Records = f.apply(newestPerKey(page.Records))
 	f.next.Store(page.Next)
 	// After a partial read the state is reloaded: the remaining records replace
 	// values of the same keys.
@@ -249,6 +246,20 @@
 	return nil
 }
 
+// apply applies records and returns those that change the state.
+func (f *Follower) apply(records []Record) []Record {
+	var changes []Record
+	for _, r := range records {
+		if f.opts.Apply(r) {
+			changes = append(changes, r)
+		}
+	}
+	if len(records) > 0 && f.opts.Applied != nil {
+		f.opts.Applied()
+	}
+	return changes
+}
+
 // newestPerKey returns the last record of each key, in offset order.
 func newestPerKey(records []Record) []Record {
 	last := make(map[string]int64, len(records))
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -285,3 +286,18 @@
 		return s.get("a") == "2"
 	})
 }
+
+// TestAppliedOncePerPage guards against work that is done for each record of a page and
+// costs as much as there are keys, such as when hundreds of endpoints join at once.
+func TestAppliedOncePerPage(t *testing.T) {
+	records, calls := 0, 0
+	f := NewFollower(Options{Apply: func(Record) bool { records++; return true }, Applied: func() { calls++ }})
+	page := Page{Next: 100, End: 100}
+	for i := range 100 {
+		page.Records = append(page.Records, Record{Key: strconv.Itoa(i), Offset: int64(i)})
+	}
+	f.applyOffer(offer{0, page})
+	if records != 100 || calls != 1 {
+		t.Errorf("%d records applied with %d calls, want 100 with 1", records, calls)
+	}
+}
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -166,11 +167,7 @@
 	if o.from > next || o.page.Next <= next {
 		return
 	}
-	for _, r := range newestPerKey(o.page.Records) {
-		if r.Offset >= next {
-			f.opts.Apply(r)
-		}
-	}
+	f.apply(slices.DeleteFunc(newestPerKey(o.page.Records), func(r Record) bool { return r.Offset < next }))
 	f.next.Store(o.page.Next)
 }
 
--- a/pkg/relayhost/caches.go
+++ b/pkg/relayhost/caches.go
@@ -45,7 +45,7 @@
 	case <-h.stateLoaded:
 	}
 	// The leaders are known once the other hosts are heard.
-	sleep.For(ctx, discoveryTime)
+	sleep.For(ctx, h.discoveryTime())
 	candidates := h.duties.candidates()
 	leaders := candidates[:min(len(candidates), maxLeaders)]
 	self := slices.Index(leaders, h.settings.Host)
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -41,10 +41,14 @@
 	// its usage counts. One of them may be cut off from the store.
 	usageForwardPeers = 2
 	// discoveryTime is how long a new process listens for other hosts before it
-	// may become a candidate. candidacyInterval is the time between two checks
+	// may become a candidate. At the first start of all hosts it does not lead before
+	// firstDiscoveryTime, within which the addresses of the hosts are read twice:
+	// the first time most of them are missing, and a third of 295 hosts took
+	// themselves for leaders. candidacyInterval is the time between two checks
 	// whether this host is to be a candidate.
-	discoveryTime     = 700 * time.Millisecond
-	candidacyInterval = time.Second
+	discoveryTime      = 700 * time.Millisecond
+	firstDiscoveryTime = 2200 * time.Millisecond
+	candidacyInterval  = time.Second
 	// claimSpread bounds the random delay of a candidate's lease claim.
 	claimSpread = 300 * time.Millisecond
 	// streamPollWait is how long a read of a stream waits for a record.
@@ -302,7 +306,7 @@
 func (d *duties) run(ctx context.Context) {
 	// Until the other hosts are heard, each new host would consider itself the
 	// only candidate.
-	sleep.For(ctx, discoveryTime)
+	sleep.For(ctx, d.host.discoveryTime())
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
 	held, checkedAt := false, time.Time{}
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -43,8 +43,19 @@
 	peersReadWait           = 2500 * time.Millisecond
 )
 
+// discoveryTime returns how long this process listens for other hosts after its start.
+func (h *Host) discoveryTime() time.Duration {
+	if h.settings.FirstStart {
+		return firstDiscoveryTime
+	}
+	return discoveryTime
+}
+
 // leads reports whether this host reads the store for the others.
 func (h *Host) leads() bool {
+	if h.settings.FirstStart && time.Since(h.startedAt) < firstDiscoveryTime {
+		return false
+	}
 	candidates := h.duties.candidates()
 	return slices.Contains(candidates[:min(len(candidates), maxLeaders)], h.settings.Host)
 }
@@ -157,11 +168,10 @@
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.KeyedLog, Topic: h.adapter.EndpointsTopic, PollWait: h.readWait,
 		MinInterval: func() time.Duration { return endpointsReadInterval }, Sharing: h.sharing(h.adapter.EndpointsTopic, maxConfirmationAge),
-		Apply: func(r keyedlog.Record) bool {
-			changed := h.applyEndpoint(r)
-			h.refreshModels()
-			return changed
-		},
+		Apply: h.applyEndpoint,
+		// Hundreds of endpoints may come in one page, and each refresh costs as much
+		// as there are endpoints.
+		Applied:  h.refreshModels,
 		Reset:    h.resetEndpoints,
 		OnAnswer: func() { h.fleet.StoreAnswered(time.Now()) },
 		Log:      h.log,
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -78,6 +78,8 @@
 	settings Settings
 	adapter  Adapter
 	log      log.Interface
+	// startedAt is when New was called.
+	startedAt time.Time
 
 	routes   routes.Holder
 	fleet    *fleet.Registry
@@ -108,7 +110,7 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, fleet: fleet.NewRegistry(), models: placement.NewModels(),
+	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.handler = relay.New(relay.Options{
--- a/pkg/relayhost/settings.go
+++ b/pkg/relayhost/settings.go
@@ -33,6 +33,9 @@
 	// ChecksFencing says that the receivers of orders refuse outdated fencing
 	// tokens.
 	ChecksFencing bool
+	// FirstStart says that all hosts start for the first time, so that the store does
+	// not know them yet.
+	FirstStart bool
 	// LeaseTime is the duration of the lease on the duties. While a host holds
 	// it, no other host may perform them.
 	LeaseTime time.Duration
