Refuse requests that arrive late in a stop

Cause: a stopping host serves what the load balancer still sends for 3.2 s.

Change: from 2.8 s on, at most 0.35 of the grace time, requests are refused as not run with a short Retry-After.

--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -12,6 +12,11 @@
 	// connections to a host that reports that it is not ready: two checks a
 	// second apart, and one second in which a connection may be on its way.
 	lbRemovalTime = 3200 * time.Millisecond
+	// lastRequestTime is how long after the stop began requests are still served, at
+	// most lastRequestShare of the grace time. A long stream that begins later could
+	// not end within the grace time; its caller gets another host at once.
+	lastRequestTime  = 2800 * time.Millisecond
+	lastRequestShare = 0.35
 	// stopMargin is the part of the grace time that is kept for the last
 	// flushes.
 	stopMargin = 700 * time.Millisecond
@@ -45,18 +50,20 @@
 
 // drain ends the service without interrupting requests. The host reports that
 // it is not ready and asks callers to close their connections with the next
-// response. It goes on serving until the load balancer sends no new
-// connections. It then closes idle connections, because a request that arrives
-// later could not be answered in time, and waits for the requests in flight as
-// long as its grace time allows.
+// response. It goes on serving for lastRequestTime and refuses later requests as not
+// run, because they might not be answered in time. Once the load balancer sends no new
+// connections it closes idle ones, and waits for the requests in flight as long as its
+// grace time allows.
 func (h *Host) drain(callers net.Listener) {
 	started := time.Now()
 	h.log.WithField("in_flight", h.handler.InFlight()).Info("host_draining")
 	h.draining.Store(true)
 	h.handler.Drain()
-	time.Sleep(min(lbRemovalTime, h.settings.Grace/2))
-	_ = callers.Close()
+	serving := min(lastRequestTime, time.Duration(lastRequestShare*float64(h.settings.Grace)))
+	time.Sleep(serving)
 	h.handler.Stop()
+	time.Sleep(min(lbRemovalTime, h.settings.Grace/2) - serving)
+	_ = callers.Close()
 	closed := h.conns.closeIdle()
 	h.log.WithField("in_flight", h.handler.InFlight()).WithField("idle_closed", closed).Info("host_closing_connections")
 	for h.handler.InFlight() > 0 && time.Since(started) < h.settings.Grace-stopMargin {
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -273,14 +273,21 @@
 // reads nothing stands for the partition.
 func TestAbandonedBytesAreDropped(t *testing.T) {
 	read := make(chan error, 1)
-	release := make(chan struct{})
+	accepted, release := make(chan struct{}), make(chan struct{})
 	address := startPeer(t, func(_ net.Conn, r *bufio.Reader) {
+		close(accepted)
 		<-release
 		_, err := io.Copy(io.Discard, r)
 		read <- err
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go func() {
+		// Given up only once the connection exists, and its buffers are full.
+		<-accepted
+		time.Sleep(50 * time.Millisecond)
+		cancel()
+	}()
 	request := &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 32<<20)}
 	if _, err := newClient(t).Do(ctx, address, request); err == nil {
 		t.Fatal("a request that was not read is answered")
