Read-through: one path for orders and for load, shorter hot path of reports

Cause: found by reading the change. Orders for endpoints and for roles repeated the same steps under the lease. The observed work of a service was kept in two maps.

Change: duties.underLease sends both kinds of order; serviceLoad holds work, peak and begin of the load. The replays of placement share their set-up. No decision, bound or check changes.

--- a/pkg/capacity/fill.go
+++ b/pkg/capacity/fill.go
@@ -122,6 +122,8 @@
 func (p FillReclaimable) fill(pool Pool) int {
 	full := int(p.FillShare * float64(pool.Max))
 	last := pool.LastOrders[KindReclaimable]
+	// A reduced domain stays so until GrowLoad, although the reduction itself raises
+	// the load above LowLoad.
 	if last.Sent && last.Count+p.Durable < full && pool.Loaded && pool.PeakLoad < p.GrowLoad {
 		return last.Count + p.Durable
 	}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -53,7 +53,8 @@
 	Joined    Change = "joined"
 	// Restarted means that the endpoint's start time changed.
 	Restarted Change = "restarted"
-	// Updated means that the role, address, state or models changed.
+	// Updated means that the role, address, state, models or slots changed, or that
+	// the endpoint has begun or ended to warm up.
 	Updated Change = "changed"
 	// Confirmed means that the announcement had lapsed in an outage of the store and
 	// the endpoint has announced itself again.
@@ -128,7 +129,8 @@
 		change = Restarted
 	case old.State == endpoint.StateLive && m.State != endpoint.StateLive:
 		change = Leaving
-	case old.Role != m.Role || old.Address != m.Address || old.State != m.State || !slices.Equal(old.Models, m.Models), old.Slots != m.Slots, (old.WarmupRemaining > 0) != (m.WarmupRemaining > 0):
+	case old.Role != m.Role || old.Address != m.Address || old.State != m.State || !slices.Equal(old.Models, m.Models) ||
+		old.Slots != m.Slots || (old.WarmupRemaining > 0) != (m.WarmupRemaining > 0):
 		change = Updated
 	case lapsed:
 		change = Confirmed
@@ -236,8 +238,8 @@
 	return len(r.members)
 }
 
-// Version returns a number that increases when a member joins, restarts or is
-// removed, or changes its state, role, address or models.
+// Version returns a number that increases with each Change of a member other than
+// Retained.
 func (r *Registry) Version() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -107,29 +107,6 @@
 	Records    []keyedlog.Record
 }
 
-// report is a placement.SendReport for a service, or the change of an engine's
-// state.
-type report struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Engine  string
-	// Phase is one of the constants below. Parts and Sizes hold the IDs and the
-	// tokens of the placement.Parts of a send.
-	Phase      uint8
-	WorkMicros int64
-	Parts      []uint64
-	Sizes      []int
-}
-
-const (
-	phasePrefill            = 1 // a send for prefill
-	phaseDecode             = 2 // a send for decode
-	phaseBlocked            = 3 // the engine takes no work for WorkMicros
-	phaseEjected            = 4 // the sender has ejected the endpoint
-	phaseEjectedUnreachable = 5 // the sender has ejected the endpoint and could not reach it
-	phaseCached             = 6 // the engine holds the parts
-)
-
 // Options configure an Exchange. All functions must be set. Those that start
 // with On are called by one goroutine, in the order of arrival.
 type Options struct {
@@ -172,7 +149,8 @@
 	sendWake chan struct{}
 	// pageLimiter limits the bytes of published pages.
 	pageLimiter *rate.Limiter
-	relay       *relayState
+	// relay is used while this host relays for its failure domain.
+	relay *relayState
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. queue holds reports that go to every peer
@@ -193,10 +171,10 @@
 	address            netip.AddrPort
 	domain             string
 	linkBytesPerSecond float64
-	// heardAt is when the peer was last heard, returnedAt when it was first
-	// heard after its last silence.
-	// directAt is when a datagram of its own last arrived.
-	heardAt, returnedAt, directAt time.Time
+	// heardAt is when the peer was last heard, itself or by a relay, directAt when a
+	// datagram of its own last arrived, returnedAt when it was first heard after its
+	// last silence.
+	heardAt, directAt, returnedAt time.Time
 }
 
 // New returns an exchange that Run starts.
@@ -264,35 +242,20 @@
 	return x.enqueueSend(r)
 }
 
-func (r *report) setParts(parts []placement.Part) {
-	for _, p := range parts {
-		r.Parts = append(r.Parts, p.ID)
-		r.Sizes = append(r.Sizes, p.Tokens)
-	}
-}
-
-// parts returns the parts of a report, whose Parts and Sizes have the same length.
-func (r report) parts() []placement.Part {
-	var parts []placement.Part
-	for i, id := range r.Parts {
-		parts = append(parts, placement.Part{ID: id, Tokens: r.Sizes[i]})
-	}
-	return parts
-}
-
-// enqueueSend queues a report that may go through a relay. It returns false if too
-// many are queued.
+// enqueueSend queues a report that goes through a relay if there is one. It returns
+// false if too many are queued.
 func (x *Exchange) enqueueSend(r report) bool {
 	x.mu.Lock()
-	queued := len(x.sends) < maxQueuedReports
+	queue, wake := &x.queue, x.wake
+	if x.relayed() {
+		queue, wake = &x.sends, x.sendWake
+	}
+	queued := len(*queue) < maxQueuedReports
 	if queued {
-		x.sends = append(x.sends, r)
+		*queue = append(*queue, r)
 	}
 	x.mu.Unlock()
-	select {
-	case x.sendWake <- struct{}{}:
-	default:
-	}
+	notify(wake)
 	return queued
 }
 
@@ -365,8 +328,13 @@
 // SendSoon wakes Run, which sends the queued reports and this host's progress
 // after the batch delay.
 func (x *Exchange) SendSoon() {
+	notify(x.wake)
+}
+
+// notify wakes the receiver of a channel with a buffer of one.
+func notify(wake chan<- struct{}) {
 	select {
-	case x.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -477,50 +445,6 @@
 	}
 }
 
-// runSends sends the reports of sends until ctx ends.
-func (x *Exchange) runSends(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-x.sendWake:
-		}
-		t := x.topology(time.Now())
-		if !t.relayed {
-			x.mu.Lock()
-			x.queue = append(x.queue, x.sends...)
-			x.sends = nil
-			x.mu.Unlock()
-			x.SendSoon()
-			continue
-		}
-		sleep.For(ctx, relaySendDelay)
-		x.mu.Lock()
-		reports := x.sends
-		x.sends = nil
-		x.mu.Unlock()
-		x.sendViaRelay(reports, t)
-	}
-}
-
-// runRelay passes on the reports and heartbeats of other hosts until ctx ends.
-func (x *Exchange) runRelay(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			x.passOnHeartbeats(now)
-			continue
-		case <-x.relay.wake:
-		}
-		sleep.For(ctx, relayMergeDelay)
-		x.passOn()
-	}
-}
-
 func (x *Exchange) batchDelay() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -528,15 +452,17 @@
 }
 
 // sendReports sends the queued reports and this host's progress to all peers.
-// An empty queue still makes one datagram, the heartbeat.
+// An empty queue still makes one datagram, the heartbeat, which may go to relays only.
 func (x *Exchange) sendReports() {
 	x.mu.Lock()
 	queue := x.queue
 	x.queue = nil
 	x.mu.Unlock()
-	addresses := x.heartbeatAddresses()
+	var addresses []netip.AddrPort
 	if len(queue) > 0 {
 		addresses = x.addresses()
+	} else {
+		addresses = x.heartbeatAddresses()
 	}
 	for first := true; first || len(queue) > 0; first = false {
 		n := min(len(queue), maxDatagramBytes/reportBytes)
@@ -549,83 +475,3 @@
 		x.send(data, addresses)
 	}
 }
-
-func (x *Exchange) receive(ctx context.Context) {
-	buf := make([]byte, 64<<10)
-	for ctx.Err() == nil {
-		n, _, err := x.opts.Conn.ReadFrom(buf)
-		if err != nil {
-			if ctx.Err() == nil {
-				// The socket reports failed deliveries of earlier datagrams
-				// here.
-				sleep.For(ctx, readErrorDelay)
-			}
-			continue
-		}
-		if n > 0 && buf[0] == envelopeHeader {
-			var e envelope
-			if err := cbor.Unmarshal(buf[:n], &e); err != nil {
-				x.opts.Log.WithError(err).Warn("load_report_not_readable")
-				continue
-			}
-			x.applyEnvelope(e)
-			continue
-		}
-		var m message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			x.opts.Log.WithError(err).Warn("load_report_not_readable")
-			continue
-		}
-		x.apply(m)
-	}
-}
-
-// apply applies a message. It ignores the messages of unknown hosts.
-func (x *Exchange) apply(m message) {
-	x.mu.Lock()
-	p := x.peers[m.Host]
-	if p != nil {
-		now := time.Now()
-		p.directAt = now
-		x.markHeard(p, now)
-	}
-	x.mu.Unlock()
-	if p == nil {
-		return
-	}
-	for _, p := range m.Pages {
-		x.opts.OnPage(p.Topic, p.From, keyedlog.Page{Records: p.Records, Next: p.Next, End: p.Next})
-	}
-	// Pages are passed on first, because the progress says that their records
-	// exist.
-	x.opts.OnProgress(m.Followed)
-	if len(m.Flushes) > 0 {
-		x.opts.OnUsage(m.Flushes)
-	}
-	x.applyReports(m.Host, m.Reports)
-}
-
-// applyReports applies the reports of another host.
-func (x *Exchange) applyReports(host string, reports []report) {
-	for _, r := range reports {
-		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
-			continue
-		}
-		switch r.Phase {
-		case phaseBlocked:
-			x.opts.OnBlock(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
-			continue
-		case phaseEjected, phaseEjectedUnreachable:
-			x.opts.OnEject(r.Engine, host, r.Phase == phaseEjectedUnreachable)
-			continue
-		case phaseCached:
-			x.opts.OnCached(r.Service, r.Engine, r.parts())
-			continue
-		}
-		sent := placement.SendReport{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Parts: r.parts()}
-		if r.Phase == phaseDecode {
-			sent.Role = endpoint.RoleDecode
-		}
-		x.opts.OnSend(r.Service, sent)
-	}
-}
--- a/pkg/loadshare/relay.go
+++ b/pkg/loadshare/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -11,6 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/time/rate"
+
+	"github.com/clementineshed/clementineshed/pkg/sleep"
 )
 
 const (
@@ -131,11 +134,15 @@
 	others, othersHeartbeats []netip.AddrPort
 }
 
+// relayed reports whether there are so many peers that relays are used. It must be
+// called with mu held.
+func (x *Exchange) relayed() bool { return len(x.peers) >= relayMinPeers }
+
 // topology computes the topology from the hosts that were heard up to now.
 func (x *Exchange) topology(now time.Time) topology {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if len(x.peers) < relayMinPeers {
+	if !x.relayed() {
 		return topology{}
 	}
 	t := topology{relayed: true}
@@ -191,6 +198,51 @@
 	return s
 }
 
+// runSends sends the reports of sends until ctx ends.
+func (x *Exchange) runSends(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.sendWake:
+		}
+		t := x.topology(time.Now())
+		if !t.relayed {
+			// So many peers have left since that there are no relays any more.
+			x.mu.Lock()
+			x.queue = append(x.queue, x.sends...)
+			x.sends = nil
+			x.mu.Unlock()
+			x.SendSoon()
+			continue
+		}
+		sleep.For(ctx, relaySendDelay)
+		x.mu.Lock()
+		reports := x.sends
+		x.sends = nil
+		x.mu.Unlock()
+		x.sendViaRelay(reports, t)
+	}
+}
+
+// runRelay passes on the reports and heartbeats of other hosts until ctx ends.
+func (x *Exchange) runRelay(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			x.passOnHeartbeats(now)
+			continue
+		case <-x.relay.wake:
+		}
+		sleep.For(ctx, relayMergeDelay)
+		x.passOn()
+	}
+}
+
 // sendViaRelay sends this host's reports to its relay, or keeps them to be merged if
 // this host is the relay.
 func (x *Exchange) sendViaRelay(reports []report, t topology) {
@@ -208,11 +260,12 @@
 // heartbeatAddresses returns where heartbeats of this host go. Leaders send them to
 // every host, because the others need their progress at once.
 func (x *Exchange) heartbeatAddresses() []netip.AddrPort {
-	t := x.topology(time.Now())
-	if !t.relayed || x.opts.Leads() {
-		return x.addresses()
+	if !x.opts.Leads() {
+		if t := x.topology(time.Now()); t.relayed {
+			return t.own
+		}
 	}
-	return t.own
+	return x.addresses()
 }
 
 // passOnHeartbeats tells the hosts of this domain, and the relays of the others, which
@@ -270,23 +323,25 @@
 	p.heardAt = now
 }
 
-// live returns the silence up to which a peer counts as live, silence that after which
-// it may have been cut off. They must be called with mu held.
+// live returns the silence up to which a peer counts as live. It must be called with
+// mu held.
 func (x *Exchange) live() time.Duration {
-	if len(x.peers) >= relayMinPeers {
+	if x.relayed() {
 		return relayedLive
 	}
 	return liveTimeout
 }
 
+// silence returns the silence after which a peer may have been cut off. It must be
+// called with mu held.
 func (x *Exchange) silence() time.Duration {
-	if len(x.peers) >= relayMinPeers {
+	if x.relayed() {
 		return relayedSilence
 	}
 	return silenceThreshold
 }
 
-// sendEnvelope reports whether the link had room for it.
+// sendEnvelope sends relayed reports and reports whether the link had room for them.
 func (x *Exchange) sendEnvelope(e envelope, addresses []netip.AddrPort) bool {
 	if len(addresses) == 0 {
 		return true
@@ -314,10 +369,7 @@
 		x.relay.fromOthers = append(x.relay.fromOthers, batches...)
 	}
 	x.mu.Unlock()
-	select {
-	case x.relay.wake <- struct{}{}:
-	default:
-	}
+	notify(x.relay.wake)
 }
 
 // passOn sends the kept batches: those of this domain to its hosts and to the other
--- a/pkg/placement/hold_test.go
+++ b/pkg/placement/hold_test.go
@@ -52,15 +52,7 @@
 // replayHeld runs the arrivals through hosts that hold long prompts back if hold is
 // set. A request whose first event is expected after its caller leaves is refused.
 func replayHeld(arrivals []arrival, hosts int, hold bool) heldReplay {
-	members := replayFleet(9, 3)
-	var models []*Model
-	for range hosts {
-		models = append(models, replayModel(members))
-	}
-	engines := map[string]*simulatedEngine{}
-	for _, m := range members {
-		engines[m.ID] = &simulatedEngine{ready: map[uint64]time.Time{}}
-	}
+	models, engines := replayDeployment(hosts)
 	var pending events
 	var out heldReplay
 	var place func(host int, a arrival, held *HeldJob, now time.Time)
--- a/pkg/placement/meter.go
+++ b/pkg/placement/meter.go
@@ -21,14 +21,14 @@
 	updatedAt                        time.Time
 }
 
-// add adds the work of a send. slotShare is the share of an engine's slots that a
-// decode takes, streamTime the time for which it takes them.
-func (w *workMeter) add(role endpoint.Role, work, streamTime time.Duration, slotShare float64, now time.Time) {
+// add adds the work of a send. A decode occupies the engine's link for the time work
+// and its slots for slotWork, the time of its stream divided by the number of slots.
+func (w *workMeter) add(role endpoint.Role, work, slotWork time.Duration, now time.Time) {
 	w.decay(now)
 	amount := work.Seconds() / meterTimeConstant.Seconds()
 	if role == endpoint.RoleDecode {
 		w.decodeLink += amount
-		w.decodeSlots += streamTime.Seconds() * slotShare / meterTimeConstant.Seconds()
+		w.decodeSlots += slotWork.Seconds() / meterTimeConstant.Seconds()
 	} else {
 		w.prefill += amount
 	}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -228,7 +228,7 @@
 // that the engine did not hold before. It must be called with mu held.
 func (m *Model) applySend(e *engine, report SendReport, now time.Time) []uint64 {
 	work := time.Duration(report.WorkMicros) * time.Microsecond
-	m.work.add(report.Role, work, m.streamTime, 1/float64(m.slots()), now)
+	m.work.add(report.Role, work, m.streamTime/time.Duration(m.slots()), now)
 	if report.Role == endpoint.RoleDecode {
 		e.linkFreeAt = later(e.linkFreeAt, now).Add(work)
 		return e.cache.add(report.Parts, e.linkFreeAt)
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -124,10 +124,8 @@
 	return last
 }
 
-// replay runs the arrivals through the decisions of several hosts. It returns
-// the duration of each prefill and the number of tokens that were computed.
-// Hosts exchange reports if shared is set.
-func replay(arrivals []arrival, hosts int, shared bool) (took []time.Duration, computed int) {
+// replayDeployment returns the models of several hosts and the simulated engines.
+func replayDeployment(hosts int) ([]*Model, map[string]*simulatedEngine) {
 	members := replayFleet(9, 3)
 	var models []*Model
 	for range hosts {
@@ -137,6 +135,14 @@
 	for _, m := range members {
 		engines[m.ID] = &simulatedEngine{ready: map[uint64]time.Time{}}
 	}
+	return models, engines
+}
+
+// replay runs the arrivals through the decisions of several hosts. It returns
+// the duration of each prefill and the number of tokens that were computed.
+// Hosts exchange reports if shared is set.
+func replay(arrivals []arrival, hosts int, shared bool) (took []time.Duration, computed int) {
+	models, engines := replayDeployment(hosts)
 	var pending events
 	took = make([]time.Duration, len(arrivals))
 	for i, a := range arrivals {
--- a/pkg/relayhost/caches.go
+++ b/pkg/relayhost/caches.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// cacheListTimeout bounds the question to one engine, maxCacheLists the engines
-	// that are asked at the same time.
+	// cacheListTimeout bounds the request to one engine, maxCacheLists the number of
+	// engines that are asked at the same time.
 	cacheListTimeout = time.Second
 	maxCacheLists    = 8
 	// minRecoveredTokens is the shortest part that is worth telling the other hosts.
@@ -45,9 +45,8 @@
 	case <-h.stateLoaded:
 	}
 	// The leaders are known once the other hosts are heard.
-	sleep.For(ctx, h.discoveryTime())
-	candidates := h.duties.candidates()
-	leaders := candidates[:min(len(candidates), maxLeaders)]
+	sleep.For(ctx, h.discoveryPeriod())
+	leaders := h.leaders()
 	self := slices.Index(leaders, h.settings.Host)
 	table, err := h.routes.Current()
 	if self < 0 || err != nil {
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -140,10 +140,8 @@
 	candidacy *candidacy
 	// roleChanges holds the last role order of each engine; guarded by mu.
 	roleChanges map[string]roleChange
-	// peaks holds the peaks of each service's work. Only run uses it.
-	peaks map[string]*workPeaks
-	// loadedSince holds since when each service has had work. Only run uses it.
-	loadedSince map[string]time.Time
+	// loads holds the observed work of each service. Only run uses it.
+	loads map[string]*serviceLoad
 	// lastOrders holds the last order for endpoints of each pool, maxDurable the
 	// largest number of durable endpoints seen in it. Only run uses them.
 	lastOrders map[poolKey]capacity.LastOrder
@@ -171,7 +169,7 @@
 // newDuties returns duties that already count usage; run performs the rest.
 func newDuties(h *Host, stream logservice.Client, platform Platform) *duties {
 	d := &duties{host: h, stream: stream, platform: platform, clock: steadyclock.New(), key: lease.Key{Duty: lease.Coordination},
-		roles: roles.DefaultSplitRolePolicy(), capacity: capacity.DefaultFillReclaimable(), roleChanges: map[string]roleChange{}, peaks: map[string]*workPeaks{}, loadedSince: map[string]time.Time{}, lastOrders: map[poolKey]capacity.LastOrder{}, maxDurable: map[poolKey]int{}}
+		roles: roles.DefaultSplitRolePolicy(), capacity: capacity.DefaultFillReclaimable(), roleChanges: map[string]roleChange{}, loads: map[string]*serviceLoad{}, lastOrders: map[poolKey]capacity.LastOrder{}, maxDurable: map[poolKey]int{}}
 	d.counter = usage.NewCounter(usage.CounterOptions{
 		Client: stream, Clock: d.clock, Incarnation: h.settings.Host + "/" + uuid.NewString(), LiveHosts: h.liveHosts, Peers: d,
 		Window: h.settings.UsageWindow, FlushInterval: usageForwardInterval, Log: h.log,
@@ -306,7 +304,7 @@
 func (d *duties) run(ctx context.Context) {
 	// Until the other hosts are heard, each new host would consider itself the
 	// only candidate.
-	sleep.For(ctx, d.host.discoveryTime())
+	sleep.For(ctx, d.host.discoveryPeriod())
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
 	held, checkedAt := false, time.Time{}
@@ -324,6 +322,24 @@
 	}
 }
 
+// underLease calls send if this host holds the lease. The context of send ends with
+// the term, and its authority is valid at the time of the call. Errors are those of the
+// lease and of send.
+func (d *duties) underLease(ctx context.Context, c *candidacy, send func(ctx context.Context, by Authority) error) error {
+	use, err := c.leases.Begin(d.key)
+	if err != nil {
+		return err
+	}
+	defer use.Done()
+	grant, err := use.Check()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := grant.Context(ctx, d.clock, orderTimeout)
+	defer cancel()
+	return send(ctx, Authority{Holder: grant.Holder, Fence: grant.Fence})
+}
+
 // runOnce performs the duties if this host holds the lease, and reports whether
 // it does. heldBefore is the previous result.
 func (d *duties) runOnce(ctx context.Context, heldBefore bool) bool {
--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -38,8 +38,8 @@
 		}
 		roleChangeTime := s.Engine.RoleChangeTime
 		members := d.host.fleet.Members(s.Name)
-		work := d.host.models.For(s.Name).Work(now)
-		in := roles.Input{Now: now, Work: work, Peak: d.peakWork(s.Name, work, now), Slots: s.Engine.Slots, Engines: d.engines(members, roleChangeTime, now)}
+		load := d.observeLoad(s, now)
+		in := roles.Input{Now: now, Work: load.work, Peak: load.peak, Slots: s.Engine.Slots, Engines: d.engines(members, roleChangeTime, now)}
 		var wg sync.WaitGroup
 		for _, c := range d.roles.Decide(in) {
 			for _, m := range members {
@@ -52,19 +52,6 @@
 	}
 }
 
-// workPeaks holds the peaks of a service's work.
-type workPeaks struct{ prefill, decode roles.PeakHold }
-
-// peakWork returns the largest work of a service in the last PeakWindow.
-func (d *duties) peakWork(service string, work roles.Work, now time.Time) roles.Work {
-	p := d.peaks[service]
-	if p == nil {
-		p = &workPeaks{roles.PeakHold{Window: d.roles.PeakWindow}, roles.PeakHold{Window: d.roles.PeakWindow}}
-		d.peaks[service] = p
-	}
-	return roles.Work{Prefill: p.prefill.Observe(work.Prefill, now), Decode: p.decode.Observe(work.Decode, now)}
-}
-
 // engines describes the members to the role policy.
 func (d *duties) engines(members []fleet.Member, roleChangeTime time.Duration, now time.Time) []roles.Engine {
 	d.mu.Lock()
@@ -111,25 +98,16 @@
 	if report.Busy {
 		return errors.New("engine is busy with another order")
 	}
-	use, err := c.leases.Begin(d.key)
-	if err != nil {
-		return err
-	}
-	defer use.Done()
-	grant, err := use.Check()
-	if err != nil {
-		return err
-	}
-	fields["fence"] = grant.Fence
-	d.mu.Lock()
-	d.roleChanges[m.ID] = roleChange{to: to, orderedAt: time.Now()}
-	d.mu.Unlock()
-	// From now on the engine refuses requests that it has not begun to run.
-	d.host.blockEngine(m.Service, m.ID, roleChangeTime)
-	d.host.exchange.ReportBlock(m.Service, m.ID, roleChangeTime)
-	// The condition on the number of orders prevents an unanswered order from
-	// taking effect after a later one.
-	orderCtx, cancel := grant.Context(ctx, d.clock, orderTimeout)
-	defer cancel()
-	return d.platform.SetRole(orderCtx, m, to, report.Orders, Authority{Holder: grant.Holder, Fence: grant.Fence})
+	return d.underLease(ctx, c, func(ctx context.Context, by Authority) error {
+		fields["fence"] = by.Fence
+		d.mu.Lock()
+		d.roleChanges[m.ID] = roleChange{to: to, orderedAt: time.Now()}
+		d.mu.Unlock()
+		// From now on the engine refuses requests that it has not begun to run.
+		d.host.blockEngine(m.Service, m.ID, roleChangeTime)
+		d.host.exchange.ReportBlock(m.Service, m.ID, roleChangeTime)
+		// The condition on the number of orders prevents an unanswered order from
+		// taking effect after a later one.
+		return d.platform.SetRole(ctx, m, to, report.Orders, by)
+	})
 }
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -43,8 +43,9 @@
 	peersReadWait           = 2500 * time.Millisecond
 )
 
-// discoveryTime returns how long this process listens for other hosts after its start.
-func (h *Host) discoveryTime() time.Duration {
+// discoveryPeriod returns how long this process listens for other hosts after its
+// start.
+func (h *Host) discoveryPeriod() time.Duration {
 	if h.settings.FirstStart {
 		return firstDiscoveryTime
 	}
@@ -56,8 +57,13 @@
 	if h.settings.FirstStart && time.Since(h.startedAt) < firstDiscoveryTime {
 		return false
 	}
+	return slices.Contains(h.leaders(), h.settings.Host)
+}
+
+// leaders returns the names of the hosts that are to read the store for all.
+func (h *Host) leaders() []string {
 	candidates := h.duties.candidates()
-	return slices.Contains(candidates[:min(len(candidates), maxLeaders)], h.settings.Host)
+	return candidates[:min(len(candidates), maxLeaders)]
 }
 
 // sharing returns the options by which the leaders read a topic and publish its
--- a/pkg/relayhost/scale.go
+++ b/pkg/relayhost/scale.go
@@ -14,10 +14,6 @@
 	"github.com/clementineshed/clementineshed/pkg/routes"
 )
 
-// minLoadedWork is the work of a service, in busy engines, from which on it counts as
-// loaded.
-const minLoadedWork = 0.1
-
 // decideCapacity decides on the number of endpoints of each service and orders
 // what is due.
 func (d *duties) decideCapacity(ctx context.Context, c *candidacy) {
@@ -40,18 +36,12 @@
 // pools describes the service's endpoints by failure domain.
 func (d *duties) pools(s routes.Service, now time.Time) []capacity.Pool {
 	members := d.host.fleet.Members(s.Name)
-	work := d.host.models.For(s.Name).Work(now)
-	loaded := work.Prefill+work.Decode > minLoadedWork
-	if !loaded {
-		delete(d.loadedSince, s.Name)
-	} else if d.loadedSince[s.Name].IsZero() {
-		d.loadedSince[s.Name] = now
-	}
-	peak := d.peakWork(s.Name, work, now)
-	peakLoad := (peak.Prefill + peak.Decode) / float64(max(len(members), 1))
+	load := d.observeLoad(s, now)
+	peakLoad := (load.peak.Prefill + load.peak.Decode) / float64(max(len(members), 1))
 	var pools []capacity.Pool
 	for _, domain := range slices.Sorted(maps.Keys(s.Scaling.DomainPrices)) {
-		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime, Loaded: loaded, LoadedFor: now.Sub(d.loadedSince[s.Name]), PeakLoad: peakLoad}
+		pool := capacity.Pool{Domain: domain, Min: s.Scaling.Min, Max: s.Scaling.Max, Price: s.Scaling.ReclaimablePrice, BootTime: s.Scaling.BootTime,
+			Loaded: load.loaded(), LoadedFor: now.Sub(load.loadedSince), PeakLoad: peakLoad}
 		for _, m := range members {
 			switch {
 			case m.Domain != domain || m.State == endpoint.StateLeaving:
@@ -74,28 +64,18 @@
 
 func (d *duties) scale(ctx context.Context, candidacy *candidacy, service string, c capacity.TargetCount, now time.Time) {
 	fields := log.Fields{"service": service, "domain": c.Domain, "reclaimable": c.Reclaimable, "count": c.Count}
-	use, err := candidacy.leases.Begin(d.key)
-	if err != nil {
-		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
-		return
-	}
-	defer use.Done()
-	grant, err := use.Check()
-	if err != nil {
-		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
-		return
-	}
-	ctx, cancel := grant.Context(ctx, d.clock, orderTimeout)
-	defer cancel()
-	err = d.platform.Scale(ctx, service, c, Authority{Holder: grant.Holder, Fence: grant.Fence})
-	kind := capacity.KindDurable
-	if c.Reclaimable {
-		kind = capacity.KindReclaimable
-	}
-	// An order that was not answered may still be carried out, so it counts as
-	// sent.
-	d.lastOrders[poolKey{service, c.Domain, kind}] = capacity.LastOrder{Sent: true, Count: c.Count, At: now, Refused: errors.Is(err, ErrNoneAvailable)}
-	fields["fence"] = grant.Fence
+	err := d.underLease(ctx, candidacy, func(ctx context.Context, by Authority) error {
+		fields["fence"] = by.Fence
+		err := d.platform.Scale(ctx, service, c, by)
+		kind := capacity.KindDurable
+		if c.Reclaimable {
+			kind = capacity.KindReclaimable
+		}
+		// An order that was not answered may still be carried out, so it counts as
+		// sent.
+		d.lastOrders[poolKey{service, c.Domain, kind}] = capacity.LastOrder{Sent: true, Count: c.Count, At: now, Refused: errors.Is(err, ErrNoneAvailable)}
+		return err
+	})
 	if err != nil {
 		d.host.log.WithFields(fields).WithError(err).Warn("endpoints_not_ordered")
 		return
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -86,7 +86,8 @@
 	complete bool
 	conn     *conn
 	pool     *pool
-	bodies   *budget
+	// bodies bounds the bodies in memory, see ReadAll.
+	bodies *budget
 	// stopCtxWatch keeps the end of the request's context from closing the
 	// connection. It returns false if the context has ended already.
 	stopCtxWatch func() bool
