quarantine: find what requests share when they crash endpoints

The quarantine identifies a request by team, route and body, so that requests of which no two are alike were never recognised by the part of the prompt that they share. Suspects decides by features: a crash counts against every feature of the requests that were running, a completed request refutes what counts against its features, and a suspected feature is not held against a request that lacks another one which explains the same crashes. Crashes are separate only if a request was sent after the earlier one, so that engines that end together count once. It is pure; Guard confirms crashes by a probe.

--- /dev/null
+++ b/pkg/quarantine/guard.go
@@ -0,0 +1,177 @@
+package quarantine
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	// probeDelay is the time between the two probes for a crash: a process that ends
+	// may close its connections before its listener.
+	probeDelay = 100 * time.Millisecond
+	// crashMemory is how long after a confirmed crash further broken requests count
+	// against the same process without a probe.
+	crashMemory = time.Second
+)
+
+// GuardOptions are the dependencies of a Guard. All must be set.
+type GuardOptions struct {
+	// ProcessEnded reports whether no process listens at the address any more. An
+	// address that does not answer at all is no proof.
+	ProcessEnded func(ctx context.Context, address string) bool
+	// OnCrash receives the evidence of this host, OnRefuted the features that this host
+	// has cleared, to report them to the other hosts. They must not block.
+	OnCrash   func(Evidence)
+	OnRefuted func([]Feature)
+	// OnSuspected is called after a feature has become suspected. It must not block.
+	OnSuspected func()
+	Log         log.Interface
+}
+
+// Guard finds the requests that were running at crashes of endpoints, and refuses the
+// harmful ones by Suspects. It is safe for concurrent use.
+type Guard struct {
+	opts GuardOptions
+	wg   sync.WaitGroup
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	suspects *Suspects
+	broken   map[Crash]*brokenRequests
+}
+
+// brokenRequests are the requests whose connections to an endpoint process broke.
+type brokenRequests struct {
+	requests []brokenRequest
+	// crashed is set once the crash is confirmed.
+	crashed bool
+}
+
+type brokenRequest struct {
+	features         []Feature
+	sentAt, brokenAt time.Time
+}
+
+// NewGuard returns a guard without evidence.
+func NewGuard(opts GuardOptions) *Guard {
+	return &Guard{opts: opts, suspects: NewSuspects(), broken: map[Crash]*brokenRequests{}}
+}
+
+// Wait waits for the probes in progress.
+func (g *Guard) Wait() { g.wg.Wait() }
+
+// Harmful reports whether a request with the features must not be sent to an endpoint.
+func (g *Guard) Harmful(features []Feature) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.suspects.Harmful(features, time.Now())
+}
+
+// Broken records that the connection of a request to the endpoint process, which was
+// sent at a time, broke. It counts as evidence if the process has ended.
+func (g *Guard) Broken(process Crash, address string, features []Feature, sentAt time.Time) {
+	request := brokenRequest{features: features, sentAt: sentAt, brokenAt: time.Now()}
+	g.mu.Lock()
+	b := g.broken[process]
+	if b == nil {
+		b = &brokenRequests{}
+		g.broken[process] = b
+		g.wg.Go(func() { g.confirm(process, address, b) })
+	}
+	crashed := b.crashed
+	if !crashed {
+		b.requests = append(b.requests, request)
+	}
+	g.mu.Unlock()
+	if crashed {
+		g.recordCrash(process, []brokenRequest{request})
+	}
+}
+
+// confirm finds out whether the process has ended and records the evidence if so.
+func (g *Guard) confirm(process Crash, address string, b *brokenRequests) {
+	ctx := context.Background()
+	crashed := g.opts.ProcessEnded(ctx, address)
+	if !crashed {
+		time.Sleep(probeDelay)
+		crashed = g.opts.ProcessEnded(ctx, address)
+	}
+	g.mu.Lock()
+	b.crashed = crashed
+	requests := b.requests
+	if !crashed {
+		delete(g.broken, process)
+	}
+	g.mu.Unlock()
+	if !crashed {
+		return
+	}
+	g.recordCrash(process, requests)
+	time.AfterFunc(crashMemory, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.broken, process)
+	})
+}
+
+// recordCrash records a crash during the requests and reports it.
+func (g *Guard) recordCrash(process Crash, requests []brokenRequest) {
+	now := time.Now()
+	e := Evidence{Crash: process}
+	sentAge := map[Feature]time.Duration{}
+	for _, r := range requests {
+		e.Age = max(e.Age, now.Sub(r.brokenAt))
+		for _, f := range r.features {
+			if age, known := sentAge[f]; !known || now.Sub(r.sentAt) < age {
+				sentAge[f] = now.Sub(r.sentAt)
+			}
+		}
+	}
+	for f, age := range sentAge {
+		e.Running = append(e.Running, RunningFeature{Feature: f, SentAge: age})
+	}
+	g.ApplyEvidence(e)
+	g.opts.OnCrash(e)
+}
+
+// ApplyEvidence counts a crash, of this host or reported by another one.
+func (g *Guard) ApplyEvidence(e Evidence) {
+	g.mu.Lock()
+	suspected := g.suspects.Record(e, time.Now())
+	g.mu.Unlock()
+	for _, f := range suspected {
+		g.opts.Log.WithFields(log.Fields{"feature": f.String(), "endpoint": e.Crash.Endpoint}).Warn("requests_suspected")
+	}
+	if len(suspected) > 0 {
+		g.opts.OnSuspected()
+	}
+}
+
+// Completed records that a request with the features has completed.
+func (g *Guard) Completed(features []Feature) {
+	if refuted := g.ApplyRefuted(features); len(refuted) > 0 {
+		g.opts.OnRefuted(refuted)
+	}
+}
+
+// ApplyRefuted refutes the evidence against features of requests that have completed, at
+// this host or another one. It returns those for which there was any.
+func (g *Guard) ApplyRefuted(features []Feature) []Feature {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.suspects.RecordSuccess(features)
+}
+
+// Suspected returns the evidence against the suspected features.
+func (g *Guard) Suspected() []Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.suspects.Suspected(time.Now())
+}
+
+// String returns the feature in hexadecimal.
+func (f Feature) String() string { return strconv.FormatUint(uint64(f), 16) }
