relay: refuse requests whose parts crash engines

Cause: the request path on the users' platform had no quarantine at all, and the one of the product compares whole requests.

Change: broken requests whose endpoint no longer listens count as evidence against the parts of their prompts, except the last one, and against the whole request. Hosts tell each other at once; leaders repeat it each second and keep it in the store for hosts that start, so that the loss of all hosts forgets nothing. Requests are checked before each send and refused as not run.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -31,6 +31,7 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
@@ -125,6 +126,10 @@
 	// OnEject receives an endpoint that another host has ejected; unreachable
 	// says that the host could not reach it.
 	OnEject func(endpoint, host string, unreachable bool)
+	// OnCrash receives the requests that ran at a crash of an endpoint, OnRefuted the
+	// features of requests that have completed.
+	OnCrash   func(quarantine.Evidence)
+	OnRefuted func([]quarantine.Feature)
 	// ReadProgress returns this host's progress in the topics for which the
 	// store answers. OnProgress receives that of another host, OnPage a page
 	// that another host has read from an offset on.
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -15,6 +15,7 @@
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/logging"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -28,6 +29,8 @@
 	blocked     map[string]time.Duration
 	ejected     []string
 	flushes     []usage.Flush
+	crashes     []quarantine.Evidence
+	refuted     []quarantine.Feature
 	progress    map[string]Progress
 	pages       []keyedlog.Page
 	pageOffsets []int64
@@ -55,6 +58,8 @@
 		OnEject: func(endpoint, host string, unreachable bool) {
 			n.record(func() { n.ejected = append(n.ejected, fmt.Sprintf("%s of %s, %t", endpoint, host, unreachable)) })
 		},
+		OnCrash:      func(e quarantine.Evidence) { n.record(func() { n.crashes = append(n.crashes, e) }) },
+		OnRefuted:    func(f []quarantine.Feature) { n.record(func() { n.refuted = append(n.refuted, f...) }) },
 		OnUsage:      func(f []usage.Flush) { n.record(func() { n.flushes = append(n.flushes, f...) }) },
 		ReadProgress: func() map[string]Progress { return map[string]Progress{"t": {Next: 7, AgeMillis: 900}} },
 		OnProgress:   func(p map[string]Progress) { n.record(func() { n.progress = p }) },
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -34,6 +34,10 @@
 			x.applyEnvelope(e)
 			continue
 		}
+		if n > 0 && buf[0] == evidenceHeader {
+			x.receiveEvidence(buf[:n])
+			continue
+		}
 		var m message
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			x.opts.Log.WithError(err).Warn("load_report_not_readable")
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/connstate"
+	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
@@ -39,8 +40,10 @@
 	cancel         context.CancelCauseFunc
 	cancelDeadline context.CancelFunc
 
-	table    *routes.Table
-	call     Call
+	table *routes.Table
+	call  Call
+	// features is set by crashFeatures.
+	features []quarantine.Feature
 	route    *routes.Route
 	service  string
 	team     string
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -78,6 +78,9 @@
 		if r := g.x.cancellationRefusal(); r != nil {
 			return nil, r
 		}
+		if r := g.h.quarantineRefusal(g.x); r != nil {
+			return nil, r
+		}
 		choice, ok := g.model.ChoosePrefill(g.job, g.h.Outliers, time.Now())
 		if !ok {
 			return g.openWithoutPrefill()
@@ -263,6 +266,10 @@
 		if r := g.x.cancellationRefusal(); r != nil {
 			return nil, false, r
 		}
+		// The prefill takes long enough for news of crashes.
+		if r := g.h.quarantineRefusal(g.x); r != nil {
+			return nil, false, r
+		}
 		choice, ok := g.model.ChooseDecode(job, from, g.h.Outliers, time.Now())
 		if !ok {
 			return nil, false, g.decodeRefusal(nil)
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -32,6 +32,9 @@
 		if r := x.cancellationRefusal(); r != nil {
 			return r
 		}
+		if r := h.quarantineRefusal(x); r != nil {
+			return r
+		}
 		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.Outliers, time.Now())
 		if !ok {
 			return h.noEndpointRefusal(x, lastErr)
@@ -89,6 +92,7 @@
 	if x.route.Kind == routes.Repeatable && x.attempts+1 < x.route.MaxAttempts && x.route.Target > 0 {
 		headTimeout = time.Duration(headTimeoutShare * float64(x.route.Target))
 	}
+	sentAt := time.Now()
 	answer, err := h.send(x, m, ForwardOptions{}, headTimeout, !x.route.MayRepeat())
 	if !notSent(err) {
 		x.attempts++
@@ -100,9 +104,11 @@
 	h.markRunning(x)
 	body, err := answer.ReadAll(maxAnswerBytes)
 	if err != nil {
+		h.recordBroken(x, m, sentAt, time.Time{})
 		h.recordSendError(x, m, err)
 		return nil, nil, err
 	}
+	h.Guard.Completed(x.crashFeatures())
 	if answer.Status >= 500 {
 		h.recordFailure(m, outlier.BadAnswer, statusError(answer))
 	} else {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
@@ -48,8 +49,10 @@
 	Models   *placement.Models
 	Balancer *placement.Balancer
 	Outliers *outlier.Tracker
-	Budget   *retry.SharedBudget
-	Client   *upstream.Client
+	// Guard refuses requests that crash endpoints.
+	Guard  *quarantine.Guard
+	Budget *retry.SharedBudget
+	Client *upstream.Client
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -69,6 +69,9 @@
 			// disconnects first. Without this a hung engine would never be ejected.
 			h.recordFailure(m, outlier.TimedOut, err)
 		}
+		if !notSent(err) && !errors.Is(err, upstream.ErrAnswerTimeout) {
+			h.recordBroken(x, m, sentAt, time.Time{})
+		}
 		h.recordSendError(x, m, err)
 		return nil, err
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -32,8 +32,9 @@
 	member   fleet.Member
 	inFlight *placement.InFlightSend
 	sentAt   time.Time
-	// eventAt is when the last complete event arrived.
-	eventAt time.Time
+	// firstEventAt is when the first complete event arrived, eventAt when the last one
+	// did.
+	firstEventAt, eventAt time.Time
 	// pending holds the bytes after the last complete event. The first searched of
 	// them hold no end of an event.
 	pending     []byte
@@ -101,6 +102,9 @@
 	events := s.pending[:end+len(eventEnd)]
 	s.pending = append(make([]byte, 0, eventBufferBytes), s.pending[end+len(eventEnd):]...)
 	s.eventAt = time.Now()
+	if s.firstEventAt.IsZero() {
+		s.firstEventAt = s.eventAt
+	}
 	s.updateLastEventID(events)
 	return events
 }
@@ -200,6 +204,7 @@
 // that ends the request.
 func (g *generation) resume(s *stream, cause error) (*stream, *refusal.Refusal) {
 	s.close(placement.Failed)
+	g.h.recordBroken(g.x, s.member, s.sentAt, s.firstEventAt)
 	g.h.recordSendError(g.x, s.member, cause)
 	if r := g.x.cancellationRefusal(); r != nil {
 		return nil, r
@@ -254,6 +259,7 @@
 
 func (b *body) complete() {
 	b.g.h.Outliers.Succeeded(b.s.member, time.Now())
+	b.g.h.Guard.Completed(b.g.x.crashFeatures())
 	b.s.close(placement.Completed)
 }
 
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -20,6 +20,7 @@
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
@@ -85,11 +86,15 @@
 	fleet    *fleet.Registry
 	models   *placement.Models
 	outliers *outlier.Tracker
-	client   *upstream.Client
-	handler  *relay.Handler
-	metrics  *relay.Metrics
-	server   *fasthttp.Server
-	conns    *callerConns
+	guard    *quarantine.Guard
+	stored   storedEvidence
+	// evidenceWake starts the next round of runEvidence.
+	evidenceWake chan struct{}
+	client       *upstream.Client
+	handler      *relay.Handler
+	metrics      *relay.Metrics
+	server       *fasthttp.Server
+	conns        *callerConns
 	// followers holds one follower per topic. It is not changed after New.
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
@@ -111,11 +116,14 @@
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, stateLoaded: make(chan struct{}),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan struct{}, 1), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
+	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
+		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
+	})
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
-		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers,
+		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
@@ -183,7 +191,7 @@
 		return errors.Wrap(err, "listen for load reports of other hosts")
 	}
 	defer func() { _ = peerConn.Close() }()
-	h.exchange = loadshare.New(loadshare.Options{Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnUsage: h.acceptUsage, ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log})
+	h.exchange = loadshare.New(loadshare.Options{Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage, ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log})
 	h.duties = newDuties(h, h.adapter.LogService, h.adapter.Platform)
 	workCtx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -195,6 +203,7 @@
 	wg.Go(func() { h.exchange.Run(workCtx) })
 	wg.Go(func() { h.duties.run(workCtx) })
 	wg.Go(func() { h.runHousekeeping(workCtx) })
+	wg.Go(func() { h.runEvidence(workCtx) })
 	wg.Go(func() { h.recoverCaches(workCtx) })
 	wg.Go(func() { h.serveReady(ready) })
 	if metrics != nil {
@@ -217,6 +226,7 @@
 	}
 	h.client.Close()
 	h.handler.Wait()
+	h.guard.Wait()
 	wg.Wait()
 	h.log.Info("host_stopped")
 	return nil
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -48,6 +48,12 @@
 		h.exchange.RemovePeer(r.Key)
 		return
 	}
+	if r.Key == evidenceKey {
+		if err := h.applyStoredEvidence(r.Value); err != nil {
+			h.log.WithField("offset", r.Offset).WithError(err).Warn("evidence_not_readable")
+		}
+		return
+	}
 	var a announcement
 	err := json.Unmarshal(r.Value, &a)
 	if err == nil {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,6 +66,17 @@
 // is gone or has not answered on another connection.
 func (c *Client) CloseIdle(address string) { c.pool.closeIdle(address) }
 
+// ProcessEnded reports whether nothing listens at an address: a new connection is
+// refused. An address that does not answer is no proof.
+func (c *Client) ProcessEnded(ctx context.Context, address string) bool {
+	cn, err := c.pool.get(ctx, address, true)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = cn.Close()
+	return false
+}
+
 // Dials returns how many connections the client has tried to open.
 func (c *Client) Dials() int64 {
 	c.pool.mu.Lock()
