relay: an answer on a reused connection must name its request

What callers saw: 503 "not run" for requests that a runner had run. A faulty runner writes an earlier refusal once more on a kept connection, without an id.

Cause: an answer without an id counted as the answer to the request that was sent last, on a reused connection too, and its statement "not executed" as proof.

Fix: refusal.Attributable. Requests that may not be repeated have used new connections all along; the test shows that they run once and are never refused after they ran, for a refusal with the earlier id, without one and with the same one, before and after the next request.

TestTruncatedHeadIsNotPassedOn and the tests in pkg/upstream show that a head cut at any byte is not taken as an answer.

--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -138,3 +138,11 @@
 	}
 	return body
 }
+
+// Attributable reports whether an answer that names the request answered, empty if it
+// names none, belongs to the request with the id. On a connection in use again, a peer
+// at fault may repeat its answer to an earlier request, so that only an answer that
+// names the request counts.
+func Attributable(answered, id string, reusedConn bool) bool {
+	return answered == id || answered == "" && !reusedConn
+}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -8,6 +8,7 @@
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
@@ -19,6 +20,9 @@
 var (
 	// errWrongRequest reports an answer that belongs to another request.
 	errWrongRequest = errors.New("the answer belongs to another request")
+	// errUnattributed reports an answer without an id on a connection in use again. It
+	// may belong to an earlier request, so that it proves nothing about this one.
+	errUnattributed = errors.New("the answer on a reused connection names no request")
 	// errNoStamp reports a success without the stamp of an endpoint.
 	errNoStamp = errors.New("the answer carries no endpoint stamp")
 )
@@ -79,6 +83,8 @@
 	switch {
 	case !belongsTo(header, x.call.ID):
 		err = errWrongRequest
+	case !refusal.Attributable(header.RequestID, x.call.ID, answer.OnReusedConn()):
+		err = errUnattributed
 	case header.NotRun || answer.Status == 421:
 		// 421 Misdirected Request: the endpoint is not the expected instance.
 		err = &notRunError{endpoint: m.ID, status: answer.Status}
@@ -121,7 +127,7 @@
 		// other idle connections may be dead as well.
 		kind = outlier.TimedOut
 		h.Client.CloseIdle(m.Address)
-	case provesNotRun(err):
+	case provesNotRun(err) || errors.Is(err, errUnattributed):
 		// An endpoint that is full or was ordered to stop taking work has not failed.
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalCooldown))
 		return
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -338,6 +338,10 @@
 	return true
 }
 
+// OnReusedConn reports whether the answer came on a connection that had carried an
+// earlier exchange. Without an id it may then be a repeated answer to that exchange.
+func (a *Answer) OnReusedConn() bool { return a.conn.reused }
+
 // DisableReuse makes Close close the connection. It is for a peer that broke the
 // protocol.
 func (a *Answer) DisableReuse() { a.reusable = false }
