relay: a stream without events that ends with its connection is broken

What callers saw: a 200 with an empty stream, framed as whole, from an engine that closed right after the head of its answer, without a length and chunks.

Cause: the end of the connection counted as the end of the stream before the first event too. Nothing tells it from an engine that stopped there.

Fix: such a stream has broken off. It goes to another engine if it may, else the caller gets 502. A framed empty stream stays complete, because its engine has said so.

Evidence: TestAnswerThatEndsWithItsConnection on the code before printed for "stream, empty", HTTP 1.0 and 1.1: "got {status:200 header:map[Content-Length:[0] ...] body: err:<nil>}, framed as whole". Its other cases passed: plain answers and streams that end with FIN are whole, resets and ends within an event are not.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -67,25 +67,25 @@
 			continue
 		}
 		if events := s.takeEvents(); events != nil {
-			if errors.Is(err, io.EOF) && len(s.pending) == 0 {
-				return events, io.EOF
-			}
 			return events, s.endError(err)
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
-			return nil, io.EOF
-		}
 		return nil, s.endError(err)
 	}
 }
 
-// endError returns the error for an answer that failed with err, or that ended
-// inside an event if err is io.EOF.
+// endError returns the error for an answer whose read failed with err: io.EOF only if
+// the stream is complete.
 func (s *stream) endError(err error) error {
-	if errors.Is(err, io.EOF) {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case len(s.pending) > 0:
 		return errors.Wrap(upstream.ErrIncomplete, "the answer ended inside an event")
+	case s.eventAt.IsZero() && s.answer.EndsWithConn():
+		// An engine that fails right after the head closes in the same way.
+		return errors.Wrap(upstream.ErrIncomplete, "the connection ended before the first event")
 	}
-	return err
+	return io.EOF
 }
 
 // takeEvents removes the complete events from the buffer and returns them, nil if
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -338,6 +338,9 @@
 	return true
 }
 
+// EndsWithConn reports whether only the close of the connection ends the body.
+func (a *Answer) EndsWithConn() bool { return !a.framed }
+
 // OnReusedConn reports whether the answer came on a connection that had carried an
 // earlier exchange. Without an id it may then be a repeated answer to that exchange.
 func (a *Answer) OnReusedConn() bool { return a.conn.reused }
