relay: only an event stream continues a broken stream

What callers saw: a stream that had begun and broke off went on with the body of the next runner's answer, which was no event stream, or ended as complete after a 204 or another answer without a body.

Cause: after the break only the status was looked at (300 or more); any answer below that with an endpoint's stamp counted as the continuation.

Fix: an answer continues a stream only with status 200 and type text/event-stream. Any other one is a failed attempt, so that the stream goes on at another engine while the attempts and the retry budget allow it, and ends without the end of its body otherwise. The gate is not affected: its engine client takes only events that name the request and session checks their index.

Evidence: on the code before, TestBrokenStreamIsNotContinuedByAnError failed for "no event stream" (also HTTP/1.0), "no type", "204" and "empty, no event stream": the body was event 1 followed by the error's text, or event 1 with a clean end. Its cases with a status of 300 or more, a refusal or a cut head passed. TestStreamGoesOnAfterAnError failed too: it got event 1 and a cut connection after the 500.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,9 @@
 	maxEventBytes = 64 << 10
 )
 
+// errNoEventStream reports an answer that cannot continue a stream.
+var errNoEventStream = errors.New("the engine did not continue the stream")
+
 // eventEnd separates events (HTML standard, server-sent events).
 var eventEnd = []byte("\n\n")
 
@@ -220,6 +224,12 @@
 	return g.open()
 }
 
+// isEventStream reports whether an answer may continue a stream of events.
+func isEventStream(answer *upstream.Answer) bool {
+	mediaType, _, err := mime.ParseMediaType(answer.Fields.Get("Content-Type"))
+	return err == nil && answer.Status == 200 && mediaType == "text/event-stream"
+}
+
 // body is the body of a streamed answer, resumed at other engines if it breaks
 // off. After a read error the server closes the connection without an end of the
 // body, so that the caller sees that the answer is incomplete.
@@ -239,16 +249,16 @@
 				return 0, io.EOF
 			}
 			next, r := b.g.resume(b.s, b.err)
-			if r == nil && next.answer.Status >= 300 {
-				next.close(placement.Failed)
-				r = refusal.Unknown(502, refusal.CodeEndpointFailed, "the stream could not be resumed")
-			}
 			if r != nil {
 				b.g.x.outcome = "broken"
 				b.g.x.logFields["cause"] = r.Error()
 				return 0, r
 			}
 			b.s, b.err = next, nil
+			if !isEventStream(next.answer) {
+				b.err = errors.Wrapf(errNoEventStream, "status %d", next.answer.Status)
+				continue
+			}
 		}
 		b.events, b.err = b.s.next(b.g.readLimit())
 	}
