engineclient: a refusal on a reused connection must name its request

What callers saw: "ran": "no" for a request that an engine ran, if the engine writes an earlier refusal once more on a kept connection.

Cause: any refusal that came first on a reused connection counted as the answer to the request sent last, and as proof that it has not run. Refusals named no request.

A refusal on a reused connection that does not name the request counts as a broken connection: the request goes to the engine again on a new one, as after the close of an idle one. A generation has no effect outside its engine. An engine that does not send request_id is asked once more on a new connection, where its refusal counts.

Evidence: TestRepeatedRefusalIsNoProof on the code before printed, for refusals with the earlier id and without one, before and after the next request, "request 2: 0 tokens, generate: ... engine refused the request: overloaded (status 503)", and the same for requests 4 and 6. TestTruncatedStreamIsBroken passed before: a head or stream cut at any byte is neither complete nor refused.

--- /dev/null
+++ b/pkg/engineclient/answers_test.go
@@ -0,0 +1,171 @@
+package engineclient
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/enginewire"
+)
+
+// startEngine starts an engine that calls serve for each request, with the number of
+// requests that the connection carried before. The connection is closed once serve
+// returns false.
+func startEngine(t *testing.T, serve func(c net.Conn, earlier int, id string) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for earlier := 0; ; earlier++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(req.Body)
+					_, id, _ := strings.Cut(string(body), `"request_id":"`)
+					id, _, _ = strings.Cut(id, `"`)
+					if !serve(c, earlier, id) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newClient(t *testing.T) *Client {
+	c := New(Options{ProgressTimeout: time.Second})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// wholeStream returns a complete stream with one token.
+func wholeStream(id string) string {
+	events := fmt.Sprintf("data: {\"request_id\":%q,\"index\":0,\"token\":\"t\"}\n\ndata: {\"request_id\":%q,\"done\":true}\n\n", id, id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(events), events)
+}
+
+func refusalText(body string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// readWhole runs a request to its last event and returns the number of tokens.
+func readWhole(t *testing.T, c *Client, address, id string) (int, error) {
+	t.Helper()
+	s, err := c.Generate(t.Context(), address, enginewire.GenerateRequest{RequestID: id})
+	if err != nil {
+		return 0, err
+	}
+	defer s.Close()
+	for tokens := 0; ; tokens++ {
+		event, err := s.Next()
+		if err != nil || event.Done {
+			return tokens, err
+		}
+	}
+}
+
+// TestRepeatedRefusalIsNoProof guards against a refusal of an earlier request that an
+// engine writes once more on a kept connection and that counts as proof that the next
+// request has not run.
+func TestRepeatedRefusalIsNoProof(t *testing.T) {
+	for _, body := range []string{`{"code":"overloaded"}`, `{"code":"overloaded","request_id":"r-0"}`} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, before the next request %v", body, early), func(t *testing.T) {
+				address := startEngine(t, func(c net.Conn, earlier int, id string) bool {
+					if earlier > 0 && !early {
+						_, _ = io.WriteString(c, refusalText(body))
+					}
+					_, _ = io.WriteString(c, wholeStream(id))
+					if early {
+						time.Sleep(time.Millisecond)
+						_, _ = io.WriteString(c, refusalText(body))
+					}
+					return true
+				})
+				client := newClient(t)
+				for i := range 6 {
+					tokens, err := readWhole(t, client, address, fmt.Sprint("r-", i+1))
+					if err != nil || tokens != 1 {
+						t.Errorf("request %d: %d tokens, %v", i+1, tokens, err)
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+	}
+}
+
+// TestRefusalThatNamesItsRequestCounts guards against a refusal on a reused connection
+// that is not believed although it names the request, so that it is sent again.
+func TestRefusalThatNamesItsRequestCounts(t *testing.T) {
+	var mu sync.Mutex
+	sends := 0
+	address := startEngine(t, func(c net.Conn, earlier int, id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		sends++
+		if earlier == 0 {
+			_, _ = io.WriteString(c, wholeStream(id))
+		} else {
+			_, _ = io.WriteString(c, refusalText(fmt.Sprintf(`{"code":"overloaded","request_id":%q}`, id)))
+		}
+		return true
+	})
+	client := newClient(t)
+	if _, err := readWhole(t, client, address, "r-1"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := readWhole(t, client, address, "r-2")
+	var refused *RefusedError
+	if !errors.As(err, &refused) || refused.Code != enginewire.CodeOverloaded {
+		t.Errorf("got %v, want a refusal", err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if sends != 2 {
+		t.Errorf("%d sends, want 2", sends)
+	}
+}
+
+// TestTruncatedStreamIsBroken guards against a stream that is taken as complete, or as
+// refused, although its engine stopped within the head or before the last event.
+func TestTruncatedStreamIsBroken(t *testing.T) {
+	whole := wholeStream("r-1")
+	last := strings.Index(whole, `data: {"request_id":"r-1","done"`)
+	unframed := "HTTP/1.1 200 OK\r\n\r\ndata: {\"request_id\":\"r-1\",\"index\":0,\"token\":\"t\"}\n\n"
+	refusal := refusalText(`{"code":"overloaded","request_id":"r-1"}`)
+	for text, ends := range map[string]int{whole: last, unframed: len(unframed), refusal: len(refusal) - 1} {
+		for cut := range ends + 1 {
+			address := startEngine(t, func(c net.Conn, _ int, _ string) bool {
+				_, _ = io.WriteString(c, text[:cut])
+				return false
+			})
+			_, err := readWhole(t, newClient(t), address, "r-1")
+			var broken *BrokenError
+			if !errors.As(err, &broken) {
+				t.Errorf("%d bytes of %.20q...: got %v, want a broken stream", cut, text, err)
+			}
+		}
+	}
+}
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
+	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
@@ -146,9 +147,9 @@
 		_ = pc.conn.Close()
 		var broken *BrokenError
 		if errors.As(err, &broken) && pc.reused && ctx.Err() == nil {
-			// The engine most likely closed the idle connection. A generation
-			// has no effect outside the engine, so sending it again on a new
-			// connection at worst wastes work.
+			// The engine most likely closed the idle connection, or wrote an earlier
+			// answer once more. A generation has no effect outside the engine, so
+			// sending it again on a new connection at worst wastes work.
 			c.pool.dropIdle(address)
 			continue
 		}
@@ -186,15 +187,18 @@
 }
 
 func (s *Stream) refused(status int) error {
-	var refusal enginewire.Refusal
-	body := make([]byte, 4096)
-	n, _ := s.resp.BodyStream().Read(body)
-	_ = json.Unmarshal(body[:n], &refusal)
+	var body enginewire.Refusal
+	data := make([]byte, 4096)
+	n, _ := s.resp.BodyStream().Read(data)
+	_ = json.Unmarshal(data[:n], &body)
 	s.release(false)
-	if status >= 500 && refusal.Code == "" {
+	if status >= 500 && body.Code == "" {
 		return &BrokenError{Err: errors.Errorf("status %d without a refusal code", status)}
 	}
-	return &RefusedError{Status: status, Code: refusal.Code}
+	if !refusal.Attributable(body.RequestID, s.requestID, s.pooled.reused) {
+		return &BrokenError{Err: errors.Errorf("refusal of request %q", body.RequestID)}
+	}
+	return &RefusedError{Status: status, Code: body.Code}
 }
 
 func (s *Stream) broken(err error) error {
--- a/pkg/enginewire/enginewire.go
+++ b/pkg/enginewire/enginewire.go
@@ -121,6 +121,9 @@
 // request has not run.
 type Refusal struct {
 	Code string `json:"code"`
+	// RequestID is the refused generate request. Without it, a refusal on a reused
+	// connection may be that of an earlier request.
+	RequestID string `json:"request_id,omitempty"`
 	// Fence is the highest fencing token seen; set with CodeStaleFence only.
 	Fence int64 `json:"fence,omitempty"`
 }
--- a/pkg/standin/engined/handlers.go
+++ b/pkg/standin/engined/handlers.go
@@ -184,7 +184,7 @@
 	entry.Prompt = Summarize(request.Prompt)
 	code := s.accept(j, entry)
 	if code != "" {
-		httpd.WriteJSON(ctx, refusalStatus(code), enginewire.Refusal{Code: code})
+		httpd.WriteJSON(ctx, refusalStatus(code), enginewire.Refusal{Code: code, RequestID: request.RequestID})
 		return
 	}
 	ctx.SetContentType("text/event-stream")
