engineclient: do not reuse a connection with unrequested bytes

What callers saw: a broken attempt, and a suspicion that the request crashes engines, after an engine had sent a second answer behind a complete one. The next request on the connection read that answer.

Cause: the pool gave out idle connections without a look at them. pkg/upstream, the client of the relay, has looked since it began.

Fix: a connection with buffered or readable bytes, or one that the engine has closed, is closed instead of used again.

--- a/pkg/engineclient/answers_test.go
+++ b/pkg/engineclient/answers_test.go
@@ -169,3 +169,58 @@
 		}
 	}
 }
+
+// TestConnectionWithUnrequestedBytesIsNotReused guards against a second answer that
+// follows a complete one and fails the next request on the connection.
+func TestConnectionWithUnrequestedBytesIsNotReused(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		address := startEngine(t, func(c net.Conn, _ int, id string) bool {
+			text := wholeStream(id)
+			if !late {
+				text += wholeStream(id)
+			}
+			_, _ = io.WriteString(c, text)
+			if late {
+				time.Sleep(5 * time.Millisecond)
+				_, _ = io.WriteString(c, wholeStream(id))
+			}
+			return true
+		})
+		client := newClient(t)
+		for i := range 4 {
+			tokens, err := readWhole(t, client, address, fmt.Sprint("r-", i+1))
+			if err != nil || tokens != 1 {
+				t.Errorf("late %v, request %d: %d tokens, %v", late, i+1, tokens, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// TestConnectionsAreKept guards against a connection that is closed after each request,
+// because it seems to have unrequested bytes, and a closed one that is used again.
+func TestConnectionsAreKept(t *testing.T) {
+	var mu sync.Mutex
+	dials := 0
+	address := startEngine(t, func(c net.Conn, earlier int, id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if earlier == 0 {
+			dials++
+		}
+		_, _ = io.WriteString(c, wholeStream(id))
+		return earlier < 1
+	})
+	client := newClient(t)
+	for i := range 4 {
+		if _, err := readWhole(t, client, address, fmt.Sprint("r-", i)); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if dials != 2 {
+		t.Errorf("%d connections for 4 requests, want 2", dials)
+	}
+}
--- a/pkg/engineclient/conn.go
+++ b/pkg/engineclient/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/connstate"
 )
 
 // progressTimeoutConn limits the time that one read or write may take without
@@ -30,6 +32,9 @@
 	return c.Conn.Write(p)
 }
 
+// NetConn returns the wrapped connection, for connstate.
+func (c *progressTimeoutConn) NetConn() net.Conn { return c.Conn }
+
 // pooledConn is one connection with its buffers.
 type pooledConn struct {
 	conn net.Conn
@@ -42,6 +47,12 @@
 	idleSince time.Time
 }
 
+// stale reports whether the engine has closed the connection or sent bytes that belong
+// to no request.
+func (pc *pooledConn) stale() bool {
+	return pc.r.Buffered() > 0 || connstate.Of(pc.conn) != connstate.Idle
+}
+
 // pool keeps idle connections by address.
 type pool struct {
 	dialTimeout     time.Duration
@@ -77,7 +88,7 @@
 	for n := len(p.idle[address]); n > 0; n = len(p.idle[address]) {
 		pc := p.idle[address][n-1]
 		p.idle[address] = p.idle[address][:n-1]
-		if time.Since(pc.idleSince) < p.idleTimeout {
+		if time.Since(pc.idleSince) < p.idleTimeout && !pc.stale() {
 			pc.reused = true
 			return pc
 		}
