jsonhttp: do not reuse a connection with unrequested bytes

What callers saw: the answer to an earlier request. A peer that writes one answer too many on a kept connection makes every later answer on it belong to the request before: an append that took effect counted as refused, a load report was that of an earlier poll.

Cause: fasthttp.HostClient gives out idle connections without a look at them, and drops what it has buffered.

Fix: the first write of a request on a connection that has carried another one fails if the connection is readable or closed. Nothing has been sent then, so that the request takes the next connection. This also ends the failures with an unknown outcome after a peer has closed an idle connection.

--- a/pkg/jsonhttp/client.go
+++ b/pkg/jsonhttp/client.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	return conn, nil
+	return &reusableConn{Conn: conn}, nil
 }
 
 func (c *Client) newHostClient(dial fasthttp.DialFuncWithTimeout, connections int) *fasthttp.HostClient {
@@ -190,7 +190,12 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	if err := hostClient.DoTimeout(req, resp, timeout); err != nil {
+	err := hostClient.DoTimeout(req, resp, timeout)
+	for errors.Is(err, errStaleConn) {
+		// HostClient has closed that connection.
+		err = hostClient.DoTimeout(req, resp, timeout)
+	}
+	if err != nil {
 		return err
 	}
 	if code := resp.StatusCode(); code < 200 || code > 299 {
--- /dev/null
+++ b/pkg/jsonhttp/reuse_test.go
@@ -0,0 +1,113 @@
+package jsonhttp
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// startPeer starts a server that calls serve for each request, with the number of
+// requests on all connections before it. The connection is closed once serve returns
+// false.
+func startPeer(t *testing.T, serve func(c net.Conn, earlier int) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	requests := 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					mu.Lock()
+					earlier := requests
+					requests++
+					mu.Unlock()
+					if !serve(c, earlier) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestConnectionWithUnrequestedBytesIsNotReused guards against an answer to an earlier
+// request, written once more on a kept connection, that is taken as the answer to the
+// next one: an append that took effect then counted as refused.
+func TestConnectionWithUnrequestedBytesIsNotReused(t *testing.T) {
+	address := startPeer(t, func(c net.Conn, earlier int) bool {
+		body := fmt.Sprintf(`{"n":%d}`, earlier)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		time.Sleep(2 * time.Millisecond)
+		_, _ = io.WriteString(c, "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}")
+		return true
+	})
+	client := New(address, Options{})
+	for i := range 6 {
+		answer := struct{ N int }{-1}
+		if err := client.Do(t.Context(), http.MethodPost, "/", struct{}{}, &answer); err != nil || answer.N != i {
+			t.Errorf("request %d: got %d, %v", i, answer.N, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestClosedConnectionIsNotReused guards against a request that fails, with an unknown
+// outcome, because the peer has closed the idle connection that it was sent on.
+func TestClosedConnectionIsNotReused(t *testing.T) {
+	address := startPeer(t, func(c net.Conn, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		return false
+	})
+	client := New(address, Options{})
+	for i := range 4 {
+		if err := client.Do(t.Context(), http.MethodPost, "/", struct{}{}, &struct{}{}); err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestTruncatedAnswerIsNoAnswer guards against a success or a refusal that is read from
+// an answer whose peer closes the connection within the head or the body.
+func TestTruncatedAnswerIsNoAnswer(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 409 Conflict\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	} {
+		for cut := range len(text) {
+			address := startPeer(t, func(c net.Conn, _ int) bool {
+				_, _ = io.WriteString(c, text[:cut])
+				return false
+			})
+			err := New(address, Options{}).Do(t.Context(), http.MethodPost, "/", struct{}{}, nil)
+			var status *StatusError
+			if err == nil || errors.As(err, &status) {
+				t.Errorf("%q: got %v", text[:cut], err)
+			}
+		}
+	}
+}
