gate: a stream that fails ends without the end of its body

What callers saw: a stream that failed after its first token ended with an error event and then the last chunk, so that a proxy or client that looks only at HTTP framing took it as complete.

Cause: a body stream writer cannot report an error to the server, which ends the body when the writer returns.

Fix: the events go through a pipe that the session closes with its error. The server then closes the connection after the error event without the last chunk, as the relay does.

Evidence: TestBrokenAnswerIsVisiblyIncomplete and TestWithdrawnKeyEndsRunningStream now also require that the read of the body fails; on the code before they printed "the broken answer is framed as whole". They use net/http, because fasthttp returns no body with the error.

--- a/pkg/gate/answer.go
+++ b/pkg/gate/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -68,15 +69,19 @@
 }
 
 // streamChat answers with server-sent events. Only a complete answer ends with
-// "[DONE]"; one that fails ends with an error event.
+// "[DONE]". One that fails ends with an error event and without the end of the body,
+// so that HTTP clients that read no events see that it is incomplete.
 func (g *Gate) streamChat(ctx *fasthttp.RequestCtx, s *session) {
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-store")
 	created := g.Clock.Now().Unix()
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		err := s.streamTo(w, created)
+	body, w := io.Pipe()
+	ctx.SetBodyStream(body, -1)
+	go func() {
+		err := s.streamTo(bufio.NewWriter(w), created)
 		s.finish(err)
-	})
+		_ = w.CloseWithError(err)
+	}()
 }
 
 // streamTo writes the events of the session as they arrive. A caller that does
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -96,7 +96,7 @@
 func TestBrokenAnswerIsVisiblyIncomplete(t *testing.T) {
 	breaks := func(request enginewire.GenerateRequest, w *eventWriter) { w.tokens(request.SkipTokens, 3) }
 	tg := newTestGate(t, DefaultLimits, engine(t, breaks))
-	_, body := tg.post(t, "/v1/chat/completions", testKey, chatBody)
+	body := tg.postBroken(t, "/v1/chat/completions", testKey, chatBody)
 	if strings.Contains(body, "[DONE]") || !strings.Contains(body, `"ran":"unknown"`) {
 		t.Fatalf("got %s, want ran unknown and no [DONE]", body)
 	}
@@ -144,7 +144,7 @@
 	}
 	tg := newTestGate(t, DefaultLimits, engine(t, endless))
 	time.AfterFunc(100*time.Millisecond, func() { tg.config.set(KeyWithdrawn) })
-	_, body := tg.post(t, "/v1/chat/completions", testKey, chatBody)
+	body := tg.postBroken(t, "/v1/chat/completions", testKey, chatBody)
 	if !strings.Contains(body, "key_withdrawn") || strings.Contains(body, "[DONE]") {
 		t.Fatalf("got %s, want key_withdrawn and no [DONE]", body)
 	}
