relay: a 503, 429 or 408 without a statement is no promise

What callers saw: the 503, 429 or 408 of a runner that did not state "not executed". To callers these statuses promise that the request has not run and never will; it had reached the runner and may have run.

Cause: a failure status was passed on as it came if the answer carried no statement.

Fix: such an answer is a failed attempt with an unknown outcome. The request goes to another endpoint if it may be repeated, else the caller gets 502 without the runner's stamp. Other statuses are passed on as before.

--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -139,6 +139,12 @@
 	return body
 }
 
+// StatusPromisesNotRun reports whether callers take a status by itself as the promise that
+// the request has not run and never will.
+func StatusPromisesNotRun(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
 // Attributable reports whether an answer that names the request answered, empty if it
 // names none, belongs to the request with the id. On a connection in use again, a peer
 // at fault may repeat its answer to an earlier request, so that only an answer that
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -23,6 +23,9 @@
 	// errUnattributed reports an answer without an id on a connection in use again. It
 	// may belong to an earlier request, so that it proves nothing about this one.
 	errUnattributed = errors.New("the answer on a reused connection names no request")
+	// errNoStatement reports a status that promises callers that the request has not run,
+	// from an endpoint that does not state it.
+	errNoStatement = errors.New("the endpoint does not state that the request has not run")
 	// errNoStamp reports a success without the stamp of an endpoint.
 	errNoStamp = errors.New("the answer carries no endpoint stamp")
 )
@@ -88,6 +91,8 @@
 	case header.NotRun || answer.Status == 421:
 		// 421 Misdirected Request: the endpoint is not the expected instance.
 		err = &notRunError{endpoint: m.ID, status: answer.Status}
+	case refusal.StatusPromisesNotRun(answer.Status):
+		err = errors.Wrapf(errNoStatement, "status %d", answer.Status)
 	case answer.Status < 300 && !header.Stamped && opts.Phase != PhasePrefill:
 		err = errNoStamp
 	}
