relay: no "not run" after a send with an unknown outcome

What callers saw: 503 with "ran": "no" for a repeatable request that one endpoint may have run, because the next one refused it. 503 promises that the request has not run.

Cause: the last failure alone decided on the refusal.

Fix: the exchange remembers a send whose outcome is unknown. A refusal that promises "not run" then becomes 502 with ran "unknown" and the same Retry-After, whichever step refuses. A prefill does not count, because it does not run the request.

Evidence: TestRefusedRetryIsNoProof on the code before printed "/lookup/1: got {status:503 ... "ran":"no"} after 2 sends, want 502" and the same for /resumable/1 after 4 sends.

--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -54,6 +54,9 @@
 	attempts int
 	// ran says that an endpoint has begun to run the request.
 	ran bool
+	// mayHaveRun says that an endpoint may have begun to run the request: a send of it
+	// failed with an unknown outcome.
+	mayHaveRun bool
 	// late says that the request got a lower priority because it was expected to
 	// miss its target.
 	late bool
@@ -111,6 +114,15 @@
 	return refusal.Unknown(504, refusal.CodeTooLate, "the request's time passed").WithCause(cause)
 }
 
+// withdrawNotRun returns r, without its promise "not run" if the request has been sent
+// and may have run.
+func (x *exchange) withdrawNotRun(r *refusal.Refusal) *refusal.Refusal {
+	if r.Ran != refusal.RanNo || !x.ran && !x.mayHaveRun {
+		return r
+	}
+	return refusal.Unknown(502, r.Code, "an endpoint failed; the request may have run").WithRetryAfter(r.RetryAfter).WithCause(r)
+}
+
 // refuse answers with a refusal. The promise "not run" holds for 503 and 429 only.
 func (x *exchange) refuse(r *refusal.Refusal) {
 	x.status, x.outcome = r.Status, r.Code
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -116,7 +116,7 @@
 	}
 	x := h.begin(ctx)
 	if r := h.serve(x); r != nil {
-		x.refuse(r)
+		x.refuse(x.withdrawNotRun(r))
 	}
 	if !x.streaming {
 		x.finish()
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -61,6 +61,15 @@
 // the time to the head of the answer, zero if it has no bound; newConn asks for
 // a new connection. A failure is recorded against the endpoint.
 func (h *Handler) send(x *exchange, m fleet.Member, opts ForwardOptions, headTimeout time.Duration, newConn bool) (*upstream.Answer, error) {
+	answer, err := h.exchangeWith(x, m, opts, headTimeout, newConn)
+	if err != nil && opts.Phase != PhasePrefill && !provesNotRun(err) {
+		x.mayHaveRun = true
+	}
+	return answer, err
+}
+
+// exchangeWith is send without the record of whether the request may have run.
+func (h *Handler) exchangeWith(x *exchange, m fleet.Member, opts ForwardOptions, headTimeout time.Duration, newConn bool) (*upstream.Answer, error) {
 	opts.EndpointID, opts.Team, opts.Remaining = m.ID, x.team, x.remaining()
 	req := &upstream.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
