Give no new work to endpoints that state in an answer that they leave

Callers and endpoints saw: an endpoint that leaves got requests until its announcement said so, which lags by seconds, or for ever if the announcement was lost. An answer with Server-Leaving was passed on and not acted on.

Cause: the registry of endpoints knew announcements only. Nothing on the way of an answer could change an endpoint's state.

The answer's header is now decoded (relay.AnswerHeader.Leaving) and applied to the registry (fleet.Registry.MarkLeaving), which all choosers read: prefill, decode, resume, copies, plain services and role orders. The mark belongs to one start of the endpoint and outlives lagging announcements and the endpoint's removal; another start ends it. Other hosts get a report, which they apply in the same way; the rule holds on each host without it.

--- a/pkg/fleet/doc.go
+++ b/pkg/fleet/doc.go
@@ -6,6 +6,9 @@
 // than the last is dropped. An endpoint that is draining or gone therefore gets
 // no new work, even if an older announcement arrives later.
 //
+// Announcements lag behind the endpoints. An endpoint that states in an answer that
+// it leaves counts as leaving at once, and until it announces another start.
+//
 // The store is unavailable when it answers no host. Announcements then lapse
 // although their endpoints are alive. An endpoint whose announcement lapses
 // during an outage, or within OutageGrace after it, is therefore kept until
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 )
 
@@ -19,6 +21,10 @@
 // three missed heartbeats, which are more than a second apart.
 const outageThreshold = 2 * time.Second
 
+// maxLeaving bounds the endpoints that are remembered as leaving. Those that left
+// longest ago, whose announcements have long lapsed, are forgotten first.
+const maxLeaving = 4096
+
 // Member is an endpoint as it last announced itself.
 type Member struct {
 	endpoint.Endpoint
@@ -73,6 +79,8 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	members map[string]Member
+	// leaving holds the start times of the endpoints that MarkLeaving has marked.
+	leaving *lru.LRU[string, int64]
 	// lapsedAt holds when the announcements of retained members lapsed.
 	lapsedAt map[string]time.Time
 	// storeAnsweredAt is when the store last answered any host.
@@ -87,7 +95,9 @@
 
 // NewRegistry returns a registry without members.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]Member{}, lapsedAt: map[string]time.Time{}, membersByService: map[string][]Member{}}
+	// NewLRU fails only for sizes below one.
+	leaving, _ := lru.NewLRU[string, int64](maxLeaving, nil)
+	return &Registry{members: map[string]Member{}, leaving: leaving, lapsedAt: map[string]time.Time{}, membersByService: map[string][]Member{}}
 }
 
 // StoreAnswered records that the store answered this or another host at a time.
@@ -119,6 +129,9 @@
 	if known && m.olderThan(old) {
 		return Unchanged
 	}
+	if started, marked := r.leaving.Peek(m.ID); marked && m.StartedMillis <= started && m.State == endpoint.StateLive {
+		m.State = endpoint.StateLeaving
+	}
 	_, lapsed := r.lapsedAt[m.ID]
 	delete(r.lapsedAt, m.ID)
 	change := Unchanged
@@ -143,6 +156,28 @@
 	return change
 }
 
+// MarkLeaving records that an endpoint that started at startedMillis has itself stated
+// that it leaves. It is no longer live until it announces another start: announcements
+// lag, and one that was written before the statement may arrive after it, even after
+// the endpoint was removed. MarkLeaving reports whether the endpoint was live.
+func (r *Registry) MarkLeaving(id string, startedMillis int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if started, marked := r.leaving.Peek(id); marked && startedMillis <= started {
+		return false
+	}
+	r.leaving.Add(id, startedMillis)
+	m, known := r.members[id]
+	if !known || m.State != endpoint.StateLive || m.StartedMillis > startedMillis {
+		return false
+	}
+	m.State = endpoint.StateLeaving
+	r.members[id] = m
+	clear(r.membersByService)
+	r.version++
+	return true
+}
+
 // Remove applies the lapse of an announcement. It returns Removed, or Retained
 // after a recent outage, or Unchanged if the endpoint is unknown.
 func (r *Registry) Remove(id string, now time.Time) Change {
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -133,3 +133,53 @@
 		t.Errorf("change %q, want %q", change, Confirmed)
 	}
 }
+
+// TestLaggingAnnouncementDoesNotReturnLeavingEndpoint guards against an endpoint that
+// gets work again because an announcement from before its statement that it leaves
+// arrives after it, also once the endpoint was removed.
+func TestLaggingAnnouncementDoesNotReturnLeavingEndpoint(t *testing.T) {
+	r := NewRegistry()
+	wantState := func(step string, want endpoint.State) {
+		t.Helper()
+		if list := r.Members("s"); len(list) != 1 || list[0].State != want {
+			t.Errorf("%s: members %+v, want state %s", step, list, want)
+		}
+	}
+	r.Announce(member("a", 10, 1, endpoint.StateLive))
+	version := r.Version()
+	if !r.MarkLeaving("a", 10) || r.Version() == version {
+		t.Error("the first statement changes nothing")
+	}
+	if r.MarkLeaving("a", 10) {
+		t.Error("the second statement is reported as a change")
+	}
+	wantState("after the statement", endpoint.StateLeaving)
+	if change := r.Announce(member("a", 10, 2, endpoint.StateLive)); change != Unchanged {
+		t.Errorf("the lagging announcement changes %q", change)
+	}
+	wantState("after a lagging announcement", endpoint.StateLeaving)
+	r.Remove("a", start)
+	r.Announce(member("a", 10, 3, endpoint.StateLive))
+	wantState("after the removal and a lagging announcement", endpoint.StateLeaving)
+	if change := r.Announce(member("a", 20, 1, endpoint.StateLive)); change != Restarted {
+		t.Errorf("the restart changes %q", change)
+	}
+	wantState("after the restart", endpoint.StateLive)
+	if r.MarkLeaving("a", 10) {
+		t.Error("a late statement of the earlier start is reported as a change")
+	}
+	wantState("after a late statement of the earlier start", endpoint.StateLive)
+}
+
+// TestStatementBeforeAnnouncement guards against an endpoint that gets work because
+// another host has reported that it leaves before its announcement was read.
+func TestStatementBeforeAnnouncement(t *testing.T) {
+	r := NewRegistry()
+	if r.MarkLeaving("a", 10) {
+		t.Error("the statement of an unknown endpoint is reported as a change")
+	}
+	r.Announce(member("a", 10, 1, endpoint.StateLive))
+	if m, _ := r.Find("a"); m.State != endpoint.StateLeaving {
+		t.Errorf("member %+v", m)
+	}
+}
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -130,6 +130,9 @@
 	// features of requests that have completed.
 	OnCrash   func(quarantine.Evidence)
 	OnRefuted func([]quarantine.Feature)
+	// OnLeaving receives an endpoint, with its start time in Unix milliseconds, that
+	// has told another host that it leaves.
+	OnLeaving func(endpoint, host string, startedMillis int64)
 	// ReadProgress returns this host's progress in the topics for which the
 	// store answers. OnProgress receives that of another host, OnPage a page
 	// that another host has read from an offset on.
@@ -279,6 +282,12 @@
 	x.enqueue(r)
 }
 
+// ReportLeaving queues the report that an endpoint, which started at startedMillis,
+// has told this host that it leaves.
+func (x *Exchange) ReportLeaving(endpoint string, startedMillis int64) {
+	x.enqueue(report{Engine: endpoint, Phase: phaseLeaving, Parts: []uint64{uint64(startedMillis)}, Sizes: []int{0}})
+}
+
 func (x *Exchange) enqueue(r report) {
 	x.mu.Lock()
 	if len(x.queue) < maxQueuedReports {
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -27,6 +27,7 @@
 	mu          sync.Mutex
 	sends       []placement.SendReport
 	blocked     map[string]time.Duration
+	leaving     []string
 	ejected     []string
 	flushes     []usage.Flush
 	crashes     []quarantine.Evidence
@@ -58,8 +59,11 @@
 		OnEject: func(endpoint, host string, unreachable bool) {
 			n.record(func() { n.ejected = append(n.ejected, fmt.Sprintf("%s of %s, %t", endpoint, host, unreachable)) })
 		},
-		OnCrash:      func(e quarantine.Evidence) { n.record(func() { n.crashes = append(n.crashes, e) }) },
-		OnRefuted:    func(f []quarantine.Feature) { n.record(func() { n.refuted = append(n.refuted, f...) }) },
+		OnCrash:   func(e quarantine.Evidence) { n.record(func() { n.crashes = append(n.crashes, e) }) },
+		OnRefuted: func(f []quarantine.Feature) { n.record(func() { n.refuted = append(n.refuted, f...) }) },
+		OnLeaving: func(endpoint, host string, startedMillis int64) {
+			n.record(func() { n.leaving = append(n.leaving, fmt.Sprintf("%s of %s, %d", endpoint, host, startedMillis)) })
+		},
 		OnUsage:      func(f []usage.Flush) { n.record(func() { n.flushes = append(n.flushes, f...) }) },
 		ReadProgress: func() map[string]Progress { return map[string]Progress{"t": {Next: 7, AgeMillis: 900}} },
 		OnProgress:   func(p map[string]Progress) { n.record(func() { n.progress = p }) },
@@ -289,3 +293,16 @@
 		t.Error("a single change is not shared")
 	}
 }
+
+// TestLeavingReportArrives guards against hosts that send requests to an endpoint
+// after it has told another host that it leaves.
+func TestLeavingReportArrives(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	connect(t, map[string]*node{"a": a, "b": b})
+	a.exchange.ReportLeaving("e1", 1_700_000_000_123)
+	eventually(t, "the report", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return slices.Equal(b.leaving, []string{"e1 of a, 1700000000123"}) && len(b.sends) == 0
+	})
+}
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -85,6 +85,11 @@
 		case phaseEjected, phaseEjectedUnreachable:
 			x.opts.OnEject(r.Engine, host, r.Phase == phaseEjectedUnreachable)
 			continue
+		case phaseLeaving:
+			if len(r.Parts) == 1 {
+				x.opts.OnLeaving(r.Engine, host, int64(r.Parts[0]))
+			}
+			continue
 		case phaseCached:
 			x.opts.OnCached(r.Service, r.Engine, r.parts())
 			continue
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -23,6 +23,9 @@
 	phaseEjected            = 4 // the sender has ejected the endpoint
 	phaseEjectedUnreachable = 5 // the sender has ejected the endpoint and could not reach it
 	phaseCached             = 6 // the engine holds the parts
+	// phaseLeaving says that the endpoint, whose start time is the only entry of Parts,
+	// leaves. Earlier versions take it for a send without work.
+	phaseLeaving = 7
 )
 
 // setParts sets the parts that the engine holds once the report is applied.
--- a/pkg/relay/codec.go
+++ b/pkg/relay/codec.go
@@ -79,6 +79,8 @@
 	RequestID string
 	// Stamped says that the answer carries the stamp of an endpoint.
 	Stamped bool
+	// Leaving says that the endpoint leaves and is to get no new work.
+	Leaving bool
 	// NotRun says that the endpoint has not run the request and never will.
 	NotRun bool
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -60,6 +60,9 @@
 	// OnEjected is called for each endpoint that is ejected, to report it to the
 	// other hosts. The callbacks must be safe for concurrent use.
 	OnEjected func(m fleet.Member, kind outlier.FailureKind)
+	// OnLeaving is called for each endpoint that Fleet has marked as leaving because
+	// of its answer.
+	OnLeaving func(m fleet.Member)
 	// OnSent is called for each send of model work, to report it to the other hosts.
 	OnSent func(service string, sent placement.SendReport)
 	// OnRun is called for each request of a team that an endpoint began to run.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -125,7 +125,7 @@
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
-		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
+		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = newCallerConns()
 	h.followers = map[string]*keyedlog.Follower{
@@ -191,7 +191,12 @@
 		return errors.Wrap(err, "listen for load reports of other hosts")
 	}
 	defer func() { _ = peerConn.Close() }()
-	h.exchange = loadshare.New(loadshare.Options{Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage, ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log})
+	h.exchange = loadshare.New(loadshare.Options{
+		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
+		OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving,
+		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage,
+		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
+	})
 	h.duties = newDuties(h, h.adapter.LogService, h.adapter.Platform)
 	workCtx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
