Send nothing to an endpoint before the Retry-After of its 503 has ended

Endpoints saw: one that was full and answered 503 with Retry-After got hundreds of further requests of the same host before that time ended, as first sends, as retries and as the last resort when no other endpoint was left. Callers saw retries that were bound to fail, and a plain endpoint that answered so without the promise "not run" was ejected as failed.

Cause: the Retry-After of endpoints was not read. A refused engine was blocked for 250 ms, a plain endpoint not at all.

The header is now parsed by retryafter.Parse: seconds with a fraction, or an HTTP date; no longer than MaxPause; zero, negative and malformed values count as none. fleet.Registry keeps the pause of each start of an endpoint in a retryafter.Pauses, apart from the blocks of placement.Model, so that neither a shorter refusal, a block that another host reports nor a change of role shortens it; a restart ends it. placement.Health tells the pause to both choosers (Model and Balancer), which leave out paused endpoints even if there is no other. If all are paused, the request is refused at once as not run, with a Retry-After of the first end; model work is not prefilled if no engine could decode it. Role orders wait for the end of the pause. Handles of a paused engine are not freed: it frees them by itself after its timeout. Other engines may still read KV cache from it, as such a read is no request of this host.

--- a/pkg/fleet/doc.go
+++ b/pkg/fleet/doc.go
@@ -7,7 +7,8 @@
 // no new work, even if an older announcement arrives later.
 //
 // Announcements lag behind the endpoints. An endpoint that states in an answer that
-// it leaves counts as leaving at once, and until it announces another start.
+// it leaves counts as leaving at once, and until it announces another start. One that
+// asks for a pause stays live and gets no requests until its end.
 //
 // The store is unavailable when it answers no host. Announcements then lapse
 // although their endpoints are alive. An endpoint whose announcement lapses
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -9,6 +9,7 @@
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/retryafter"
 )
 
 // OutageGrace is the time after the store's return within which an endpoint
@@ -76,6 +77,8 @@
 
 // Registry is the set of known endpoints. It is safe for concurrent use.
 type Registry struct {
+	pauses retryafter.Pauses[instance]
+
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	members map[string]Member
@@ -93,6 +96,12 @@
 	membersByService map[string][]Member
 }
 
+// instance is one start of an endpoint.
+type instance struct {
+	id            string
+	startedMillis int64
+}
+
 // NewRegistry returns a registry without members.
 func NewRegistry() *Registry {
 	// NewLRU fails only for sizes below one.
@@ -178,6 +187,19 @@
 	return true
 }
 
+// Pause records that an endpoint wants no requests of this host for the time d. A
+// shorter pause does not end a longer one; a restart of the endpoint does. Pause
+// reports whether the endpoint was not paused before.
+func (r *Registry) Pause(m Member, d time.Duration, now time.Time) bool {
+	return r.pauses.Add(instance{m.ID, m.StartedMillis}, d, now)
+}
+
+// PausedUntil returns when the endpoint takes requests again. It is zero or in the
+// past if the endpoint is not paused.
+func (r *Registry) PausedUntil(m Member) time.Time {
+	return r.pauses.Until(instance{m.ID, m.StartedMillis})
+}
+
 // Remove applies the lapse of an announcement. It returns Removed, or Retained
 // after a recent outage, or Unchanged if the endpoint is unknown.
 func (r *Registry) Remove(id string, now time.Time) Change {
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -183,3 +183,24 @@
 		t.Errorf("member %+v", m)
 	}
 }
+
+// TestPauseBelongsToOneStart guards against a restarted endpoint that gets no requests
+// because of a pause from before its restart, and against a pause that ends with a
+// repeated announcement or a lapse.
+func TestPauseBelongsToOneStart(t *testing.T) {
+	r := NewRegistry()
+	m := member("a", 10, 1, endpoint.StateLive)
+	r.Announce(m)
+	if !r.Pause(m, time.Minute, start) || r.Pause(m, time.Second, start) {
+		t.Error("the first pause alone is new")
+	}
+	r.Remove("a", start)
+	r.Announce(member("a", 10, 2, endpoint.StateLive))
+	if again, _ := r.Find("a"); !r.PausedUntil(again).Equal(start.Add(time.Minute)) {
+		t.Errorf("paused until %v", r.PausedUntil(again))
+	}
+	r.Announce(member("a", 20, 1, endpoint.StateLive))
+	if restarted, _ := r.Find("a"); !r.PausedUntil(restarted).IsZero() {
+		t.Errorf("paused until %v after the restart", r.PausedUntil(restarted))
+	}
+}
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -33,12 +33,36 @@
 	fullSlotsPenalty = 400 * time.Millisecond
 )
 
-// Health reports which endpoints have failed recently. Implementations must be
+// Health reports which endpoints have failed recently or want no work. Implementations must be
 // safe for concurrent use.
 type Health interface {
 	// Ejected reports whether the endpoint is ejected, that is, should receive
 	// work only if no other endpoint can take it.
 	Ejected(m fleet.Member, now time.Time) bool
+	// PausedUntil returns the time before which the endpoint must receive nothing,
+	// even if no other endpoint can take the work. It is zero or in the past if the
+	// endpoint takes work.
+	PausedUntil(m fleet.Member) time.Time
+}
+
+// FirstPauseEnd returns when the first of the live endpoints of a role takes work
+// again, if all of them are paused. It returns false if one is not paused, or if none
+// is live. An empty role selects the endpoints of all roles.
+func FirstPauseEnd(members []fleet.Member, role endpoint.Role, health Health, now time.Time) (time.Time, bool) {
+	var first time.Time
+	for _, m := range members {
+		if m.State != endpoint.StateLive || role != "" && m.Role != role {
+			continue
+		}
+		end := health.PausedUntil(m)
+		if !now.Before(end) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first, !first.IsZero()
 }
 
 // ChoosePrefill chooses the engine that prefills the prompt. It returns false if
@@ -216,12 +240,13 @@
 }
 
 // candidates returns the engines of a role that can take the job. Ejected
-// engines are returned only if there are no others. It must be called with mu
-// held.
+// engines are returned only if there are no others, paused ones never. It must be
+// called with mu held.
 func (m *Model) candidates(role endpoint.Role, job Job, health Health, now time.Time) []*engine {
 	var healthy, ejected []*engine
 	for _, e := range m.order {
-		if now.Before(e.blockedUntil) || e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) {
+		if now.Before(e.blockedUntil) || e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) ||
+			now.Before(health.PausedUntil(e.member)) {
 			continue
 		}
 		if health.Ejected(e.member, now) {
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -34,8 +34,8 @@
 }
 
 // Pick chooses one of the members and counts the request as in flight until
-// Done. Ejected members are chosen only if there is no other. It returns false
-// if no member can take the request.
+// Done. Ejected members are chosen only if there is no other, paused ones never. It
+// returns false if no member can take the request.
 func (b *Balancer) Pick(members []fleet.Member, exclude []string, health Health, now time.Time) (fleet.Member, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -43,7 +43,7 @@
 	best, bestCost := -1, 0.0
 	for i := range members {
 		m := members[(i+b.rotation)%len(members)]
-		if m.State != endpoint.StateLive || slices.Contains(exclude, m.ID) {
+		if m.State != endpoint.StateLive || slices.Contains(exclude, m.ID) || now.Before(health.PausedUntil(m)) {
 			continue
 		}
 		cost := float64(b.inFlight[m.ID])
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -19,6 +19,8 @@
 
 func (noneEjected) Ejected(fleet.Member, time.Time) bool { return false }
 
+func (noneEjected) PausedUntil(fleet.Member) time.Time { return time.Time{} }
+
 // These are the properties of the engines in the deployments: tokens per
 // second, the latency of a prefill, and the declared link.
 const (
--- a/pkg/relay/codec.go
+++ b/pkg/relay/codec.go
@@ -81,6 +81,9 @@
 	Stamped bool
 	// Leaving says that the endpoint leaves and is to get no new work.
 	Leaving bool
+	// RetryAfter is the time for which the endpoint wants no requests if the status is
+	// 503; zero if it does not say.
+	RetryAfter time.Duration
 	// NotRun says that the endpoint has not run the request and never will.
 	NotRun bool
 }
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -81,10 +81,14 @@
 		if r := g.h.quarantineRefusal(g.x); r != nil {
 			return nil, r
 		}
-		choice, ok := g.model.ChoosePrefill(g.job, g.h.Outliers, time.Now())
+		choice, ok := g.model.ChoosePrefill(g.job, g.h.health(), time.Now())
 		if !ok {
 			return g.openWithoutPrefill()
 		}
+		if end, paused := g.h.firstPauseEnd(g.x, endpoint.RoleDecode); paused && time.Until(end) > choice.Expected() {
+			// No engine could decode after the prefill.
+			return nil, g.decodeRefusal(nil)
+		}
 		if r := g.admit(choice); r != nil {
 			return nil, r
 		}
@@ -109,7 +113,7 @@
 // admit refuses work whose first event is expected after the deadline or the
 // caller's timeout, and marks work that will miss its target as late.
 func (g *generation) admit(c placement.Choice) *refusal.Refusal {
-	wait := g.heldWait(c.Work) + c.Expected() + g.model.DecodeWait(g.job, g.h.Outliers, time.Now()) + firstEventLatency
+	wait := g.heldWait(c.Work) + c.Expected() + g.model.DecodeWait(g.job, g.h.health(), time.Now()) + firstEventLatency
 	expected := g.x.elapsed() + wait
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
@@ -229,7 +233,7 @@
 	if g.x.ran {
 		return refusal.Unknown(502, refusal.CodeEndpointFailed, "the engine failed").WithCause(err)
 	}
-	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no engine read the prompt").WithRetryAfter(g.x.retryAfter(minOverloadRetryAfter)).WithCause(err)
+	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no engine read the prompt").WithRetryAfter(g.h.retryAfterPause(g.x, endpoint.RolePrefill, minOverloadRetryAfter)).WithCause(err)
 }
 
 // mayRetryPrefill reports whether the retry budget allows another prefill after a
@@ -270,7 +274,7 @@
 		if r := g.h.quarantineRefusal(g.x); r != nil {
 			return nil, false, r
 		}
-		choice, ok := g.model.ChooseDecode(job, from, g.h.Outliers, time.Now())
+		choice, ok := g.model.ChooseDecode(job, from, g.h.health(), time.Now())
 		if !ok {
 			return nil, false, g.decodeRefusal(nil)
 		}
@@ -309,7 +313,7 @@
 	if g.x.ran || err != nil && !provesNotRun(err) {
 		return refusal.Unknown(502, refusal.CodeEndpointFailed, "the engine failed; the request may have run").WithCause(err)
 	}
-	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no engine can generate now").WithRetryAfter(g.x.retryAfter(minOverloadRetryAfter)).WithCause(err)
+	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no engine can generate now").WithRetryAfter(g.h.retryAfterPause(g.x, endpoint.RoleDecode, minOverloadRetryAfter)).WithCause(err)
 }
 
 // startDecode sends the request to a decode engine and waits for the head of its
@@ -340,7 +344,7 @@
 func (g *generation) openWithoutPrefill() (*stream, *refusal.Refusal) {
 	job := g.job
 	job.Exclude = nil
-	choice, ok := g.model.ChooseDecodeWithPrefill(job, g.h.Outliers, time.Now())
+	choice, ok := g.model.ChooseDecodeWithPrefill(job, g.h.health(), time.Now())
 	if !ok {
 		return nil, g.decodeRefusal(nil)
 	}
@@ -357,9 +361,13 @@
 	return s, nil
 }
 
-// freeHandle frees, in the background, a handle that no engine will use.
+// freeHandle frees, in the background, a handle that no engine will use. An engine that
+// has asked for a pause is left to free it by itself after its own timeout.
 func (g *generation) freeHandle(handle prefillHandle) {
 	h := g.h
+	if time.Now().Before(h.Fleet.PausedUntil(handle.member)) {
+		return
+	}
 	h.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeHandleTimeout)
 		defer cancel()
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -6,7 +6,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
-	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
@@ -35,7 +34,7 @@
 		if r := h.quarantineRefusal(x); r != nil {
 			return r
 		}
-		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.Outliers, time.Now())
+		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), time.Now())
 		if !ok {
 			return h.noEndpointRefusal(x, lastErr)
 		}
@@ -110,7 +109,7 @@
 	}
 	h.Guard.Completed(x.crashFeatures())
 	if answer.Status >= 500 {
-		h.recordFailure(m, outlier.BadAnswer, statusError(answer))
+		h.recordBadAnswer(m, answer)
 	} else {
 		h.Outliers.Succeeded(m, time.Now())
 	}
@@ -134,7 +133,7 @@
 	if err == nil {
 		err = errors.New("no endpoint of the service is available")
 	}
-	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no endpoint took the request").WithRetryAfter(x.retryAfter(busyRetryAfter)).WithCause(err)
+	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no endpoint took the request").WithRetryAfter(h.retryAfterPause(x, "", busyRetryAfter)).WithCause(err)
 }
 
 // retryAfter bounds a Retry-After by a third of the time that the caller has left:
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -106,7 +106,7 @@
 		err = errNoStamp
 	}
 	if statesOwnCondition(answer, err) {
-		h.applyNotices(m, header)
+		h.applyNotices(m, answer.Status, header)
 	}
 	if err == nil {
 		return answer, nil
@@ -122,21 +122,6 @@
 	return nil, steperr.Wrap(err, "check answer", m.Address)
 }
 
-// statesOwnCondition reports whether an answer, checked with the result err, states
-// the condition of the endpoint that the request was sent to. A 421 is the answer of
-// another instance.
-func statesOwnCondition(answer *upstream.Answer, err error) bool {
-	return answer.Status != 421 && !errors.Is(err, errWrongRequest) && !errors.Is(err, errNoStamp)
-}
-
-// applyNotices applies what an answer states about its endpoint. Announcements may
-// state it later, or not at all.
-func (h *Handler) applyNotices(m fleet.Member, header AnswerHeader) {
-	if header.Leaving && h.Fleet.MarkLeaving(m.ID, m.StartedMillis) {
-		h.OnLeaving(m)
-	}
-}
-
 // belongsTo reports whether an answer may belong to the request with the id.
 func belongsTo(header AnswerHeader, id string) bool {
 	return header.RequestID == "" || header.RequestID == id
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -163,7 +163,7 @@
 	body, err := s.answer.ReadAll(maxAnswerBytes)
 	g.h.markRunning(g.x)
 	if s.answer.Status >= 500 {
-		g.h.recordFailure(s.member, outlier.BadAnswer, statusError(s.answer))
+		g.h.recordBadAnswer(s.member, s.answer)
 	}
 	s.close(placement.Failed)
 	if err != nil {
--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -91,6 +91,9 @@
 // sendRoleOrder sends a role order under the lease. It adds the fencing token
 // to fields.
 func (d *duties) sendRoleOrder(ctx context.Context, c *candidacy, m fleet.Member, to endpoint.Role, roleChangeTime time.Duration, fields log.Fields) error {
+	if time.Now().Before(d.host.fleet.PausedUntil(m)) {
+		return errors.New("engine has asked for a pause")
+	}
 	report, err := d.platform.Report(ctx, m)
 	if err != nil {
 		return err
