relay: resume streams that began long ago

Callers saw a resumable stream end without its last events when its engine failed more than two seconds (at the usual targets) after the request had arrived, although another engine was free.

Cause: admit compares the expected time of the next event with the time that the caller waits for an event, counted from the arrival of the request. For a stream that is resumed the caller counts from the last event. A stream older than that time was refused as overloaded, and its answer was cut.

Evidence: TestLongStreamIsResumed on the old code got 6 of 8 events; request_ended had outcome=broken ms=2704 cause="overloaded: the request cannot be served in its time". It passes now.

The time is counted from the last event that arrived, and from the arrival only before the first one.

--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -56,6 +56,8 @@
 	held *placement.HeldJob
 	// lastDelivered is the id of the last event that the caller has received.
 	lastDelivered string
+	// progressAt is when the last event arrived, zero before the first one.
+	progressAt time.Time
 }
 
 // generate serves a request for model work.
@@ -110,16 +112,16 @@
 	}
 }
 
-// admit refuses work whose first event is expected after the deadline or the
+// admit refuses work whose next event is expected after the deadline or the
 // caller's timeout, and marks work that will miss its target as late.
 func (g *generation) admit(c placement.Choice) *refusal.Refusal {
-	wait := g.heldWait(c.Work) + c.Expected() + g.model.DecodeWait(g.job, g.h.health(), time.Now()) + firstEventLatency
+	wait := g.expectedWait(c)
 	expected := g.x.elapsed() + wait
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
 	}
 	g.x.logFields["chosen"], g.x.logFields["wait_ms"], g.x.logFields["expected_ms"] = c.Engine.ID, c.Wait.Milliseconds(), c.Expected().Milliseconds()
-	excess := wait - min(g.x.remaining(), g.callerTimeout()-g.x.elapsed())
+	excess := wait - g.timeLeft()
 	if excess <= 0 {
 		return nil
 	}
@@ -127,6 +129,21 @@
 		WithRetryAfter(g.x.retryAfter(max(excess, minOverloadRetryAfter)))
 }
 
+// expectedWait returns the expected time until the next event if the prefill is sent
+// to the chosen engine now.
+func (g *generation) expectedWait(c placement.Choice) time.Duration {
+	return g.heldWait(c.Work) + c.Expected() + g.model.DecodeWait(g.job, g.h.health(), time.Now()) + firstEventLatency
+}
+
+// timeLeft returns how long the caller still waits for the next event.
+func (g *generation) timeLeft() time.Duration {
+	since := g.x.arrived
+	if !g.progressAt.IsZero() {
+		since = g.progressAt
+	}
+	return min(g.x.remaining(), g.callerTimeout()-time.Since(since))
+}
+
 // urgencyOf ranks the request among the routes of its service.
 func urgencyOf(x *exchange) placement.Urgency {
 	ranks, target := x.table.MoreUrgent(x.service, x.priority)
@@ -157,7 +174,7 @@
 	return true
 }
 
-// callerTimeout returns how long the caller waits for the first event.
+// callerTimeout returns how long the caller waits for the next event.
 func (g *generation) callerTimeout() time.Duration {
 	return max(minCallerTimeout, callerTimeoutTargets*g.x.route.Target, callerTimeoutGaps*g.x.route.GapTarget)
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -109,6 +109,7 @@
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt = s.eventAt
 	}
+	s.g.progressAt = s.eventAt
 	s.updateLastEventID(events)
 	return events
 }
