relay: wait for a silent endpoint until another one can take over

Callers saw resumable streams cut in the middle, and repeatable requests refused with 502 or 503, although the endpoint was only silent for a second or so and then went on.

Cause: a silent endpoint was given up by a read deadline (1.3 s without an event, 0.8 of the target of a plain request, 0.7 s and twice the expected time of a prefill) before it was known whether the request could be sent again. Only then were the retry budget and the other endpoints asked. With a spent budget, with no other endpoint, or with one that could not be in time, the answer was lost. A service with one engine cancelled its run and started it again at the same engine.

The deadline now only asks whether to give up. retry.Silence decides: the work may be repeated, sends are left, and another endpoint could take it over now, is not ejected and is expected to be in time. Then the retry is taken from the budget, once, and the old run is cancelled before the new one starts. Otherwise the endpoint is waited for, the question is asked again every 100 ms, and the silence is recorded as a failure of the endpoint as before. The question is asked below the readers of heads and chunks, which cannot go on after an error, so no byte is lost (TestPauseLosesNoBytes). A stream is not resumed at the engine that was just given up. A decode without a prefill engine is sent again after a failure too; it was given up and never repeated.

request_ended has silent_ms if a silent endpoint was waited for, and silent_left, the number of endpoints that were given up for their silence. The metrics silent_endpoints_kept and silent_endpoints_left count them.

--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -67,6 +67,14 @@
 	return members[best], true
 }
 
+// AnyHealthy reports whether any of the members outside exclude can take a request
+// and is not ejected.
+func AnyHealthy(members []fleet.Member, exclude []string, health Health, now time.Time) bool {
+	return slices.ContainsFunc(members, func(m fleet.Member) bool {
+		return m.State == endpoint.StateLive && !slices.Contains(exclude, m.ID) && !health.Ejected(m, now)
+	})
+}
+
 // Done records that a request to the endpoint has ended. It must be called once
 // for each successful Pick.
 func (b *Balancer) Done(id string) {
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -52,6 +52,12 @@
 	// attempts counts the sends that may have run the request. For plain services
 	// it also counts those that an endpoint refused.
 	attempts int
+	// attempt is the state of the current send.
+	attempt attempt
+	// silent is how long silent endpoints were waited for beyond their limits, because
+	// no other could take over. silentLeft counts those that were given up.
+	silent     time.Duration
+	silentLeft int
 	// ran says that an endpoint has begun to run the request.
 	ran bool
 	// mayHaveRun says that an endpoint may have begun to run the request: a send of it
@@ -183,6 +189,12 @@
 	if !x.firstByte.IsZero() {
 		fields["first_ms"] = x.firstByte.Sub(x.arrived).Milliseconds()
 	}
+	if x.silent > 0 {
+		fields["silent_ms"] = x.silent.Milliseconds()
+	}
+	if x.silentLeft > 0 {
+		fields["silent_left"] = x.silentLeft
+	}
 	for name, value := range x.logFields {
 		fields[name] = value
 	}
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -58,6 +58,9 @@
 	lastDelivered string
 	// progressAt is when the last event arrived, zero before the first one.
 	progressAt time.Time
+	// silentEngine is the decode engine that was given up last because it was silent;
+	// empty if the last one failed in another way.
+	silentEngine string
 }
 
 // generate serves a request for model work.
@@ -217,7 +220,7 @@
 // sendPrefill sends the prefill request and returns the id of the handle.
 func (g *generation) sendPrefill(c placement.Choice, limit time.Duration) (string, error) {
 	opts := ForwardOptions{Phase: PhasePrefill, HasPriority: true, Priority: g.priority(), CopyFrom: c.Source.Address, LastEventID: g.lastDelivered}
-	answer, err := g.h.send(g.x, c.Engine, opts, limit, false)
+	answer, err := g.h.send(g.x, c.Engine, opts, headLimit{limit, g.silentPrefill(c.Engine)}, false)
 	if err != nil {
 		return "", err
 	}
@@ -258,10 +261,10 @@
 // accepts: a rejected prefill is counted itself, after any other failure the next
 // one is counted.
 func (g *generation) mayRetryPrefill(err error) bool {
-	now := time.Now()
 	if !provesNotRun(err) {
-		return g.h.Budget.Spend(g.x.service, now)
+		return g.x.takeRetry()
 	}
+	now := time.Now()
 	g.h.Budget.RecordRetry(g.x.service, now)
 	return g.h.Budget.Allows(g.x.service, now)
 }
@@ -280,10 +283,9 @@
 			g.freeHandle(handle)
 		}
 	}()
-	job := g.job
-	job.Exclude = nil
+	job := g.decodeJob()
 	opts := ForwardOptions{Phase: PhaseDecode, Handle: handle.id, HandleAddress: handle.member.Address}
-	for {
+	for asked := 1; ; asked++ {
 		if r := g.x.cancellationRefusal(); r != nil {
 			return nil, false, r
 		}
@@ -301,12 +303,13 @@
 			return s, false, nil
 		}
 		job.Exclude = append(job.Exclude, choice.Engine.ID)
+		g.avoidSilent(choice.Engine)
 		if r := g.x.cancellationRefusal(); r != nil {
 			return nil, false, r
 		}
 		switch {
-		case notSent(err) && len(job.Exclude) < maxDecodeEngines:
-		case provesNotRun(err) && len(job.Exclude) < maxDecodeEngines && g.h.Budget.Spend(g.x.service, time.Now()):
+		case notSent(err) && asked < maxDecodeEngines:
+		case provesNotRun(err) && asked < maxDecodeEngines && g.h.Budget.Spend(g.x.service, time.Now()):
 			g.h.Metrics.Retries.Add(1)
 			opts = ForwardOptions{Phase: PhaseFull, CopyFrom: handle.member.Address}
 		case g.mayRetryRun(err):
@@ -321,7 +324,7 @@
 // to run it, and takes the retry from the retry budget if so.
 func (g *generation) mayRetryRun(err error) bool {
 	safe := g.x.route.MayRepeat() || provesNotRun(err) && !g.x.ran
-	return safe && g.x.attempts < max(g.x.route.MaxAttempts, 1) && g.h.Budget.Spend(g.x.service, time.Now())
+	return safe && g.x.attempts < max(g.x.route.MaxAttempts, 1) && g.x.takeRetry()
 }
 
 // decodeRefusal returns the refusal after the last failed attempt to decode. err is
@@ -341,9 +344,9 @@
 	g.h.OnSent(g.x.service, sent)
 	opts.HasPriority, opts.Priority, opts.LastEventID = true, g.priority(), g.lastDelivered
 	g.x.logFields["decode_at"] = c.Engine.ID
-	limit := time.Duration(0)
+	var limit headLimit
 	if g.x.route.MayRepeat() && g.x.attempts+1 < g.x.route.MaxAttempts {
-		limit = c.Expected() + stallTimeout
+		limit = headLimit{c.Expected() + stallTimeout, g.silentDecode(c.Engine, g.x.attempts+1)}
 	}
 	answer, err := g.h.send(g.x, c.Engine, opts, limit, !g.x.route.MayRepeat())
 	if !provesNotRun(err) {
@@ -359,8 +362,7 @@
 // openWithoutPrefill asks a decode engine for the prefill as well, because no
 // prefill engine is left.
 func (g *generation) openWithoutPrefill() (*stream, *refusal.Refusal) {
-	job := g.job
-	job.Exclude = nil
+	job := g.decodeJob()
 	choice, ok := g.model.ChooseDecodeWithPrefill(job, g.h.health(), time.Now())
 	if !ok {
 		return nil, g.decodeRefusal(nil)
@@ -373,6 +375,11 @@
 		if r := g.x.cancellationRefusal(); r != nil {
 			return nil, r
 		}
+		g.avoidSilent(choice.Engine)
+		if !provesNotRun(err) && g.mayRetryRun(err) {
+			// The sends that may have run the request bound the recursion.
+			return g.open()
+		}
 		return nil, g.decodeRefusal(err)
 	}
 	return s, nil
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -47,6 +47,9 @@
 	// Retries counts sends that repeat an earlier one, Resumed the broken streams
 	// that were resumed at another engine.
 	Retries, Resumed expvar.Int
+	// SilentKept counts sends whose endpoint was silent for too long and was waited
+	// for, because no other could take over; SilentLeft those that were given up.
+	SilentKept, SilentLeft expvar.Int
 	// Total is the time from the arrival to the end of the answer, FirstByte that
 	// to its first byte. Prefill is the time of a successful prefill, FirstEvent
 	// that from the send to a decode engine to the first event.
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,7 +39,7 @@
 		if !ok {
 			return h.noEndpointRefusal(x, lastErr)
 		}
-		answer, body, err := h.sendPlain(x, member)
+		answer, body, err := h.sendPlain(x, member, tried)
 		h.Balancer.Done(member.ID)
 		if err == nil && !h.isRetryableAnswer(x, answer) {
 			x.logFields["endpoint"] = member.ID
@@ -81,18 +82,18 @@
 // takes the retry from the retry budget if so. err is nil after an answer.
 func (h *Handler) mayRetry(x *exchange, err error) bool {
 	safe := x.route.MayRepeat() || provesNotRun(err)
-	return safe && x.attempts < max(x.route.MaxAttempts, 1) && h.Budget.Spend(x.service, time.Now())
+	return safe && x.attempts < max(x.route.MaxAttempts, 1) && x.takeRetry()
 }
 
 // sendPlain sends the request, reads the complete answer and records the
-// endpoint's success or failure.
-func (h *Handler) sendPlain(x *exchange, m fleet.Member) (*upstream.Answer, []byte, error) {
-	headTimeout := time.Duration(0)
+// endpoint's success or failure. tried lists the endpoints that have failed it.
+func (h *Handler) sendPlain(x *exchange, m fleet.Member, tried []string) (*upstream.Answer, []byte, error) {
+	var limit headLimit
 	if x.route.Kind == routes.Repeatable && x.attempts+1 < x.route.MaxAttempts && x.route.Target > 0 {
-		headTimeout = time.Duration(headTimeoutShare * float64(x.route.Target))
+		limit = headLimit{time.Duration(headTimeoutShare * float64(x.route.Target)), h.silentPlain(x, append(slices.Clone(tried), m.ID))}
 	}
 	sentAt := time.Now()
-	answer, err := h.send(x, m, ForwardOptions{}, headTimeout, !x.route.MayRepeat())
+	answer, err := h.send(x, m, ForwardOptions{}, limit, !x.route.MayRepeat())
 	if !notSent(err) {
 		x.attempts++
 	}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -9,6 +9,7 @@
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
@@ -56,12 +57,19 @@
 	return errors.As(err, &e)
 }
 
+// headLimit bounds the time to the head of an answer.
+type headLimit struct {
+	// timeout is the time after which the endpoint counts as silent, zero if there is
+	// no bound. silence describes the silence then, to decide whether to wait on.
+	timeout time.Duration
+	silence func(now time.Time) retry.Silence
+}
+
 // send sends the request to an endpoint and returns the answer if it belongs to
-// the request and, for a success, carries an endpoint's stamp. headTimeout bounds
-// the time to the head of the answer, zero if it has no bound; newConn asks for
-// a new connection. A failure is recorded against the endpoint.
-func (h *Handler) send(x *exchange, m fleet.Member, opts ForwardOptions, headTimeout time.Duration, newConn bool) (*upstream.Answer, error) {
-	answer, err := h.exchangeWith(x, m, opts, headTimeout, newConn)
+// the request and, for a success, carries an endpoint's stamp. newConn asks for a new
+// connection. A failure is recorded against the endpoint.
+func (h *Handler) send(x *exchange, m fleet.Member, opts ForwardOptions, limit headLimit, newConn bool) (*upstream.Answer, error) {
+	answer, err := h.exchangeWith(x, m, opts, limit, newConn)
 	if err != nil && opts.Phase != PhasePrefill && !provesNotRun(err) {
 		x.mayHaveRun = true
 	}
@@ -69,18 +77,19 @@
 }
 
 // exchangeWith is send without the record of whether the request may have run.
-func (h *Handler) exchangeWith(x *exchange, m fleet.Member, opts ForwardOptions, headTimeout time.Duration, newConn bool) (*upstream.Answer, error) {
+func (h *Handler) exchangeWith(x *exchange, m fleet.Member, opts ForwardOptions, limit headLimit, newConn bool) (*upstream.Answer, error) {
+	x.attempt = attempt{}
 	opts.EndpointID, opts.Team, opts.Remaining = m.ID, x.team, x.remaining()
 	req := &upstream.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Fields: h.Codec.Fields(&x.call, opts), Body: x.call.Body,
-		HeadTimeout: headTimeout, NewConn: newConn,
+		HeadTimeout: limit.timeout, OnSilence: x.onSilence(m, limit.silence), NewConn: newConn,
 		Belongs: func(answer *upstream.Answer) bool { return belongsTo(h.Codec.DecodeAnswerHeader(answer), x.call.ID) },
 	}
 	sentAt := time.Now()
 	answer, err := h.Client.Do(x.workCtx, m.Address, req)
 	if err != nil {
-		if opts.Phase == PhaseDecode && x.workCtx.Err() != nil && time.Since(sentAt) >= stallTimeout {
+		if opts.Phase == PhaseDecode && !x.attempt.silenceRecorded && x.workCtx.Err() != nil && time.Since(sentAt) >= stallTimeout {
 			// A request that may run only once has no stall timeout, and its caller
 			// disconnects first. Without this a hung engine would never be ejected.
 			h.recordFailure(m, outlier.TimedOut, err)
@@ -91,6 +100,7 @@
 		h.recordSendError(x, m, err)
 		return nil, err
 	}
+	x.attempt.answered = true
 	header := h.Codec.DecodeAnswerHeader(answer)
 	switch {
 	case !belongsTo(header, x.call.ID):
@@ -149,6 +159,10 @@
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalCooldown))
 		return
 	}
+	if x.attempt.silenceRecorded {
+		// An attempt counts as one failure.
+		return
+	}
 	h.recordFailure(m, kind, err)
 }
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -48,12 +48,13 @@
 }
 
 // next returns the complete events that have arrived, and io.EOF after the last
-// one of a complete answer. Events and an error may be returned together. limit
-// bounds the time until a complete event: single bytes are no progress. Zero means no
-// bound beyond the request's deadline.
-func (s *stream) next(limit time.Duration) ([]byte, error) {
-	if limit > 0 {
-		if err := s.answer.SetReadDeadline(time.Now().Add(limit)); err != nil {
+// one of a complete answer. Events and an error may be returned together. The
+// engine of a stream that may be resumed counts as silent after stallTimeout without a
+// complete event: single bytes are no progress.
+func (s *stream) next() ([]byte, error) {
+	if s.g.mayResume() {
+		onSilence := s.g.x.onSilence(s.member, s.g.silentDecode(s.member, s.g.x.attempts))
+		if err := s.answer.SetReadDeadline(time.Now().Add(stallTimeout), onSilence); err != nil {
 			return nil, errors.Wrap(upstream.ErrIncomplete, err.Error())
 		}
 	}
@@ -141,7 +142,7 @@
 		if s.answer.Status >= 300 {
 			return g.respondFailed(s)
 		}
-		events, err := s.next(g.readLimit())
+		events, err := s.next()
 		if len(events) > 0 {
 			g.startStreaming(s, events, err)
 			return nil
@@ -181,13 +182,9 @@
 	g.x.respond(s.answer, nil)
 }
 
-// readLimit returns how long a stream may return nothing. It is zero, for no limit,
-// if the request may not be sent again.
-func (g *generation) readLimit() time.Duration {
-	if g.x.route.MayRepeat() && g.x.attempts < g.x.route.MaxAttempts {
-		return stallTimeout
-	}
-	return 0
+// mayResume reports whether the request may be sent again after this send.
+func (g *generation) mayResume() bool {
+	return g.x.route.MayRepeat() && g.x.attempts < g.x.route.MaxAttempts
 }
 
 // startStreaming sets the head and a body from which the server reads the stream.
@@ -218,6 +215,7 @@
 		g.lastDelivered = s.lastEventID
 	}
 	g.job.Exclude = append(g.job.Exclude, s.member.ID)
+	g.avoidSilent(s.member)
 	if !g.mayRetryRun(cause) {
 		return nil, refusal.Unknown(502, refusal.CodeEndpointFailed, "the stream broke off").WithCause(cause)
 	}
@@ -261,7 +259,7 @@
 				continue
 			}
 		}
-		b.events, b.err = b.s.next(b.g.readLimit())
+		b.events, b.err = b.s.next()
 	}
 	n := copy(p, b.events)
 	b.events = b.events[n:]
@@ -279,7 +277,7 @@
 func (b *body) Close() error {
 	if !b.s.closed && b.g.x.outcome == "served" {
 		b.g.x.outcome = "caller_gone"
-		if time.Since(b.s.eventAt) >= stallTimeout {
+		if !b.g.x.attempt.silenceRecorded && time.Since(b.s.eventAt) >= stallTimeout {
 			// A stream that may not be sent again has no stall timeout, and its caller
 			// disconnects first. Without this a hung engine would never be ejected.
 			b.g.h.recordFailure(b.s.member, outlier.TimedOut, errors.New("the stream stalled until its caller left"))
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -49,6 +49,8 @@
 	line("requests_late", h.metrics.Late.Value())
 	line("sends_repeated", h.metrics.Retries.Value())
 	line("streams_resumed", h.metrics.Resumed.Value())
+	line("silent_endpoints_kept", h.metrics.SilentKept.Value())
+	line("silent_endpoints_left", h.metrics.SilentLeft.Value())
 	line("requests_in_flight", h.handler.InFlight())
 	line("hosts_heard", h.liveHosts())
 	line("endpoints_known", h.fleet.Len())
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -67,3 +67,22 @@
 		t.Error("hedged without budget")
 	}
 }
+
+// TestSilentEndpointIsKeptWithoutRetry guards against a silent endpoint that is given
+// up although the request cannot be sent to another one.
+func TestSilentEndpointIsKeptWithoutRetry(t *testing.T) {
+	permitted := Silence{Repeatable: true, Sends: 1, MaxSends: 2, Alternative: true}
+	if !permitted.MayGiveUp() {
+		t.Error("kept although another endpoint can take over")
+	}
+	for name, change := range map[string]func(*Silence){
+		"unrepeatable work": func(s *Silence) { s.Repeatable = false },
+		"the last send":     func(s *Silence) { s.Sends = 2 },
+		"no alternative":    func(s *Silence) { s.Alternative = false },
+	} {
+		s := permitted
+		if change(&s); s.MayGiveUp() {
+			t.Errorf("%s: given up", name)
+		}
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -141,6 +141,7 @@
 		return nil, errors.Wrap(err, "write request")
 	}
 	if req.HeadTimeout > 0 {
+		cn.onSilence = req.OnSilence
 		if err := cn.SetReadDeadline(time.Now().Add(req.HeadTimeout)); err != nil {
 			return nil, errors.Wrap(err, "set read deadline")
 		}
@@ -149,6 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cn.onSilence = nil
 	if err := cn.SetReadDeadline(time.Time{}); err != nil {
 		return nil, errors.Wrap(err, "reset read deadline")
 	}
@@ -260,8 +262,12 @@
 	return n, nil
 }
 
-// SetReadDeadline sets the time after which reads fail.
-func (a *Answer) SetReadDeadline(deadline time.Time) error { return a.conn.SetReadDeadline(deadline) }
+// SetReadDeadline sets the time after which reads call onSilence, which returns how
+// much longer to wait. They fail if it returns zero or is nil.
+func (a *Answer) SetReadDeadline(deadline time.Time, onSilence func() time.Duration) error {
+	a.conn.onSilence = onSilence
+	return a.conn.SetReadDeadline(deadline)
+}
 
 // ReadAll reads the whole body. A body of more than limit bytes is an error that
 // wraps ErrIncomplete. ErrOverBudget reports that too many bytes are held for other
@@ -281,6 +287,7 @@
 		_ = a.conn.Close()
 		return
 	}
+	a.conn.onSilence = nil
 	if a.conn.SetDeadline(time.Time{}) != nil {
 		_ = a.conn.Close()
 		return
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -194,6 +194,39 @@
 	}
 }
 
+// TestPauseLosesNoBytes guards against an answer that is lost or garbled because its
+// peer paused inside the head or the frame of a chunk while it was waited for.
+func TestPauseLosesNoBytes(t *testing.T) {
+	const pause = 60 * time.Millisecond
+	parts := []string{"HTTP/1.1 20", "0 OK\r\nTransfer-Enc", "oding: chunked\r\n\r\n", "0", "5\r", "\nhel", "lo\r\n0", "\r\n\r\n"}
+	address := startPeer(t, func(c net.Conn, r *bufio.Reader) {
+		if !readRequest(r) {
+			return
+		}
+		for _, part := range parts {
+			time.Sleep(pause)
+			_, _ = io.WriteString(c, part)
+		}
+	})
+	asked := 0
+	wait := func() time.Duration { asked++; return pause / 3 }
+	req := *getRequest
+	req.HeadTimeout, req.OnSilence = pause/3, wait
+	answer, err := newClient(t).Do(t.Context(), address, &req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Close()
+	inHead := asked
+	if err := answer.SetReadDeadline(time.Now().Add(pause/3), wait); err != nil {
+		t.Fatal(err)
+	}
+	body, err := answer.ReadAll(1000)
+	if err != nil || string(body) != "hello" || inHead == 0 || asked == inHead {
+		t.Errorf("got %q, %v; asked %d times in the head and %d times in the body", body, err, inHead, asked-inHead)
+	}
+}
+
 // TestCancelClosesTheConnection guards against work that goes on at a peer after
 // the request was cancelled.
 func TestCancelClosesTheConnection(t *testing.T) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/clementineshed/clementineshed/pkg/connstate"
@@ -44,6 +46,28 @@
 	// idleTimeout is how long the connection may be idle according to the peer;
 	// zero if it did not say.
 	idleTimeout time.Duration
+	// onSilence is nil or called when the read deadline has passed, see Read.
+	onSilence func() time.Duration
+}
+
+// Read implements io.Reader. When the read deadline has passed, it asks onSilence how
+// much longer to wait, and fails if that is zero. The readers of heads and bodies
+// cannot go on after an error, so it must not reach them before the peer is given up.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		// A connection that the kernel gave up has a net.Error with Timeout as well.
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		wait := c.onSilence()
+		if wait <= 0 {
+			return n, err
+		}
+		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return n, err
+		}
+	}
 }
 
 // dialer returns a dialer whose connections detect a dead peer.
@@ -111,7 +135,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: address, r: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	c := &conn{Conn: nc, address: address}
+	c.r = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // takeIdle returns the usable connection that was idle for the shortest time,
--- a/pkg/upstream/message.go
+++ b/pkg/upstream/message.go
@@ -77,6 +77,9 @@
 	// HeadTimeout bounds the time from the send to the head of the answer, in
 	// addition to the context's deadline; zero means no bound.
 	HeadTimeout time.Duration
+	// OnSilence is called when HeadTimeout has passed. It returns how much longer to
+	// wait for the head; zero or nil ends the exchange with ErrAnswerTimeout.
+	OnSilence func() time.Duration
 	// NewConn asks for a new connection: the peer may be closing a reused one, and
 	// a reset would leave unknown whether the request ran.
 	NewConn bool
