Close a caller's connection only while no byte of a request is read

Callers of a stopping host saw a request that the host had read end with a closed connection, without an answer and without a refusal, so that a request that runs at most once could not be sent again.

Cause: the host closed what fasthttp reports as new or idle. fasthttp reports a connection as active after it has read from it, and reports it as idle although the next request may be in its buffer, where it also holds back the last answer. The socket was closed under a request that the handler then served. The listener was closed with connections in its backlog, which the kernel resets. The stop waited for handlers, not for the writing of the answers that they returned.

pkg/callerconn wraps the connections and takes the decision in Read, under a lock: a close sets a read deadline, and a connection ends only when the read for the first byte of a request has come back empty and nothing has arrived on the socket. New metrics: caller_connections, caller_connections_closed_idle, requests_read_in_close.

--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -71,7 +71,7 @@
 // and is not ejected.
 func AnyHealthy(members []fleet.Member, exclude []string, health Health, now time.Time) bool {
 	return slices.ContainsFunc(members, func(m fleet.Member) bool {
-		return m.State == endpoint.StateLive && !slices.Contains(exclude, m.ID) && !health.Ejected(m, now)
+		return m.State == endpoint.StateLive && !slices.Contains(exclude, m.ID) && !health.Ejected(m, now) && !now.Before(health.PausedUntil(m))
 	})
 }
 
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/callerconn"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/loadshare"
@@ -94,7 +95,7 @@
 	handler      *relay.Handler
 	metrics      *relay.Metrics
 	server       *fasthttp.Server
-	conns        *callerConns
+	conns        *callerconn.Tracker
 	// followers holds one follower per topic. It is not changed after New.
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
@@ -127,16 +128,17 @@
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
-	h.conns = newCallerConns()
+	h.conns = callerconn.NewTracker(func() callerconn.Timeouts {
+		return callerconn.Timeouts{Idle: callerIdleTimeout, Read: requestReadTimeout}
+	})
 	h.followers = map[string]*keyedlog.Follower{
 		adapter.ConfigurationTopic: h.configurationFollower(),
 		adapter.EndpointsTopic:     h.endpointsFollower(),
 		adapter.HostsTopic:         h.peersFollower(),
 	}
 	h.server = &fasthttp.Server{
-		Handler: h.handler.Handle, ConnState: h.conns.onStateChange, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
-		ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
-		NoDefaultContentType: true, DisablePreParseMultipartForm: true, Logger: discardLogger{},
+		Handler: h.handler.Handle, ConnState: h.conns.OnStateChange, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
 	return h
 }
@@ -215,7 +217,7 @@
 		wg.Go(func() { h.serveMetrics(metrics) })
 	}
 	wg.Go(func() {
-		if err := h.server.Serve(callers); err != nil && ctx.Err() == nil {
+		if err := h.server.Serve(h.conns.Listener(callers)); err != nil && ctx.Err() == nil {
 			h.log.WithError(err).Error("callers_listener_failed")
 		}
 	})
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -54,6 +54,9 @@
 	line("requests_in_flight", h.handler.InFlight())
 	line("hosts_heard", h.liveHosts())
 	line("endpoints_known", h.fleet.Len())
+	line("caller_connections", h.conns.Open())
+	line("caller_connections_closed_idle", h.conns.ClosedIdle.Value())
+	line("requests_read_in_close", h.conns.ReadInClose.Value())
 	line("connections_dialed", h.client.Dials())
 	line("ready", boolNumber(h.ready()))
 	if table, err := h.routes.Current(); err == nil {
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 )
 
@@ -53,7 +54,7 @@
 // response. It goes on serving for lastRequestTime and refuses later requests as not
 // run, because they might not be answered in time. Once the load balancer sends no new
 // connections it closes idle ones, and waits for the requests in flight as long as its
-// grace time allows.
+// grace time allows. An answer is complete once its connection is closed.
 func (h *Host) drain(callers net.Listener) {
 	started := time.Now()
 	h.log.WithField("in_flight", h.handler.InFlight()).Info("host_draining")
@@ -63,11 +64,11 @@
 	time.Sleep(serving)
 	h.handler.Stop()
 	time.Sleep(min(lbRemovalTime, h.settings.Grace/2) - serving)
-	_ = callers.Close()
-	closed := h.conns.closeIdle()
-	h.log.WithField("in_flight", h.handler.InFlight()).WithField("idle_closed", closed).Info("host_closing_connections")
-	for h.handler.InFlight() > 0 && time.Since(started) < h.settings.Grace-stopMargin {
+	h.conns.Close(callers)
+	h.log.WithField("in_flight", h.handler.InFlight()).WithField("connections", h.conns.Open()).Info("host_closing_connections")
+	for h.conns.Open() > 0 && time.Since(started) < h.settings.Grace-stopMargin {
 		time.Sleep(drainPollInterval)
 	}
-	h.log.WithField("in_flight", h.handler.InFlight()).Info("host_drained")
+	h.log.WithFields(log.Fields{"in_flight": h.handler.InFlight(), "connections": h.conns.Open(), "closed_idle": h.conns.ClosedIdle.Value(),
+		"read_in_close": h.conns.ReadInClose.Value()}).Info("host_drained")
 }
