relay: close the connections of answers that end in a drain

A caller whose request was running at SIGTERM kept its connection, because the handler looked at the drain only before it served the request. Its next request crossed the close of the connection and ended without an answer. The handler now looks after it has served the request, when the head is still unwritten.

Evidence: TestAnswerAfterStopBeganClosesTheConnection before the change: status 200, connection closes: false, want 200 and true

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -114,13 +114,14 @@
 
 // Handle serves one request. A streamed answer is written after it has returned.
 func (h *Handler) Handle(ctx *fasthttp.RequestCtx) {
-	if h.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	x := h.begin(ctx)
 	if r := h.serve(x); r != nil {
 		x.refuse(x.withdrawNotRun(r))
 	}
+	// The drain may have begun while the request was served.
+	if h.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 	if !x.streaming {
 		x.finish()
 	}
