gate: a stop answers the requests that it has read

Callers of the product's interface could see a request that a stopping host had read end with a closed connection. The stop used fasthttp's Shutdown: it claims and closes each connection without a request in service, and drops a request whose bytes have been read in between; it resets the connections in the accept backlog. Answers that ended during the drain left their connections open, as in pkg/relay.

The gate uses pkg/callerconn as pkg/relayhost does, before Shutdown finds nothing open. A connection that has sent no request yet is closed without an answer after the read timeout, where a 408 was written before. New variables: caller_connections_closed_idle, requests_read_in_close.

Evidence: TestRequestReadDuringStopIsAnswered before the change: no answer: unexpected EOF

--- a/pkg/callerconn/callerconn.go
+++ b/pkg/callerconn/callerconn.go
@@ -33,8 +33,8 @@
 
 // Timeouts bound the time that a connection may take.
 type Timeouts struct {
-	// Idle is the time between two requests and before the first one, Read that from
-	// the first byte of a request to its end.
+	// Idle is the time between two requests. Read is that from the first byte of a
+	// request to its end, and that before the first request.
 	Idle, Read time.Duration
 }
 
@@ -140,9 +140,10 @@
 
 	mu sync.Mutex
 	// waiting says that no byte of the next request has been read. waitingSince is
-	// when the wait began.
+	// when the wait began. kept says that a request has been read before.
 	waiting      bool      // guarded by mu
 	waitingSince time.Time // guarded by mu
+	kept         bool      // guarded by mu
 }
 
 // NetConn returns the wrapped connection, for connstate.Of.
@@ -192,7 +193,11 @@
 
 // waitEnd returns the end of the wait for the next request. c.mu must be held.
 func (c *conn) waitEnd() time.Time {
-	limit := c.tracker.timeouts().Idle
+	timeouts := c.tracker.timeouts()
+	limit := timeouts.Read
+	if c.kept {
+		limit = timeouts.Idle
+	}
 	if c.tracker.closing.Load() {
 		limit = min(limit, nextRequestTime)
 	}
@@ -222,7 +227,7 @@
 	if !c.waiting {
 		return
 	}
-	c.waiting = false
+	c.waiting, c.kept = false, true
 	if c.tracker.closing.Load() {
 		c.tracker.ReadInClose.Add(1)
 	}
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -263,6 +263,7 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
+		h.gate.CloseConnections(h.callers)
 		_ = callers.Shutdown()
 	}()
 	select {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/callerconn"
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/engineclient"
@@ -236,6 +237,7 @@
 type Gate struct {
 	Options
 	inflight *inflightRequests
+	conns    *callerconn.Tracker
 	stopping atomic.Bool
 	// refusals counts refused requests by code.
 	refusals expvar.Map
@@ -244,7 +246,9 @@
 // New returns a gate. Only Run cancels the requests of unusable keys and
 // disconnected callers.
 func New(opts Options) *Gate {
-	return &Gate{Options: opts, inflight: newInflight()}
+	return &Gate{Options: opts, inflight: newInflight(), conns: callerconn.NewTracker(func() callerconn.Timeouts {
+		return callerconn.Timeouts{Idle: opts.Limits.IdleTimeout, Read: opts.Limits.RequestReadTimeout}
+	})}
 }
 
 // Run cancels the requests whose key is no longer usable or whose caller has
@@ -271,6 +275,12 @@
 // code.
 func (g *Gate) Refusals() expvar.Var { return &g.refusals }
 
+// ClosedIdle counts the connections of callers that were closed as idle.
+func (g *Gate) ClosedIdle() expvar.Var { return &g.conns.ClosedIdle }
+
+// ReadInClose counts the requests that were read after CloseConnections.
+func (g *Gate) ReadInClose() expvar.Var { return &g.conns.ReadInClose }
+
 // InFlight returns the number of running requests.
 func (g *Gate) InFlight() int { return g.inflight.len() }
 
@@ -283,12 +293,13 @@
 func (g *Gate) Handle(ctx *fasthttp.RequestCtx) {
 	requestID := "req-" + uuid.NewString()
 	ctx.Response.Header.Set("X-Request-Id", requestID)
-	if g.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
 	if err := g.route(ctx, requestID); err != nil {
 		g.writeRefusal(ctx, requestID, refusal.From(err))
 	}
+	// The drain may have begun while the request was served.
+	if g.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 func (g *Gate) route(ctx *fasthttp.RequestCtx, requestID string) error {
--- a/pkg/gate/server.go
+++ b/pkg/gate/server.go
@@ -11,6 +11,9 @@
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 )
 
+// closePollInterval is the time between two checks for open connections in a stop.
+const closePollInterval = 50 * time.Millisecond
+
 // writeTimeoutConn limits the time of one write, so that a caller that reads
 // nothing does not hold a request for ever. The server's own WriteTimeout covers
 // the complete answer and would cut off long streams.
@@ -42,24 +45,32 @@
 	return &writeTimeoutConn{Conn: conn, timeout: l.timeout}, nil
 }
 
-// Listener wraps l with the gate's write timeout, and with TLS if config is set.
+// Listener wraps l with the gate's timeouts, and with TLS if config is set.
 func (g *Gate) Listener(l net.Listener, config *tls.Config) net.Listener {
 	l = &writeTimeoutListener{Listener: l, timeout: g.Limits.WriteProgressTimeout}
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	return l
+	return g.conns.Listener(l)
+}
+
+// CloseConnections closes idle connections of callers, and the others once they are.
+// l is the socket that callers connect to. It waits until all are closed.
+func (g *Gate) CloseConnections(l net.Listener) {
+	g.conns.Close(l)
+	for g.conns.Open() > 0 {
+		time.Sleep(closePollInterval)
+	}
 }
 
-// Server returns the HTTP server for callers.
+// Server returns the HTTP server for callers, which serves a listener of Listener.
 func (g *Gate) Server() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               g.Handle,
 		ErrorHandler:          g.handleReadError,
+		ConnState:             g.conns.OnStateChange,
 		ReadBufferSize:        g.Limits.HeaderBytes,
 		MaxRequestBodySize:    g.Limits.BodyBytes,
-		ReadTimeout:           g.Limits.RequestReadTimeout,
-		IdleTimeout:           g.Limits.IdleTimeout,
 		Concurrency:           g.Limits.Concurrency,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
