relayhost: apply the limits of the configuration

A host closed a kept connection 20 s after its last answer, read a request within 5 s, its head up to 16 KiB and its body up to 8 MiB, whatever the configuration said. Callers that used what a newer configuration allows were refused, or sent their next request on a connection that the host closed. Cause: the limits were decoded and used nowhere.

A longer idle time applies to connections that are idle already, a shorter one from their next wait on. The mapping of read errors to refusals is shared with pkg/gate, whose limits come from its settings file, are fixed for the life of a process and are all in use.

--- a/pkg/callerconn/callerconn.go
+++ b/pkg/callerconn/callerconn.go
@@ -34,7 +34,8 @@
 // Timeouts bound the time that a connection may take.
 type Timeouts struct {
 	// Idle is the time between two requests. Read is that from the first byte of a
-	// request to its end, and that before the first request.
+	// request to its end, unless the server sets another deadline meanwhile, and that
+	// before the first request.
 	Idle, Read time.Duration
 }
 
@@ -140,10 +141,12 @@
 
 	mu sync.Mutex
 	// waiting says that no byte of the next request has been read. waitingSince is
-	// when the wait began. kept says that a request has been read before.
-	waiting      bool      // guarded by mu
-	waitingSince time.Time // guarded by mu
-	kept         bool      // guarded by mu
+	// when the wait began, waitLimit the longest time in force since then. kept says
+	// that a request has been read before.
+	waiting      bool          // guarded by mu
+	waitingSince time.Time     // guarded by mu
+	waitLimit    time.Duration // guarded by mu
+	kept         bool          // guarded by mu
 }
 
 // NetConn returns the wrapped connection, for connstate.Of.
@@ -191,23 +194,26 @@
 	return false, io.EOF
 }
 
-// waitEnd returns the end of the wait for the next request. c.mu must be held.
+// waitEnd returns the end of the wait for the next request. A timeout that has become
+// shorter applies from the next wait on, because the caller may not know of it yet.
+// c.mu must be held.
 func (c *conn) waitEnd() time.Time {
 	timeouts := c.tracker.timeouts()
 	limit := timeouts.Read
 	if c.kept {
 		limit = timeouts.Idle
 	}
+	c.waitLimit = max(c.waitLimit, limit)
 	if c.tracker.closing.Load() {
-		limit = min(limit, nextRequestTime)
+		return c.waitingSince.Add(min(c.waitLimit, nextRequestTime))
 	}
-	return c.waitingSince.Add(limit)
+	return c.waitingSince.Add(c.waitLimit)
 }
 
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.waitingSince = true, time.Now()
+	c.waiting, c.waitingSince, c.waitLimit = true, time.Now(), 0
 	_ = c.SetReadDeadline(c.waitEnd())
 }
 
--- a/pkg/callerconn/callerconn_test.go
+++ b/pkg/callerconn/callerconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,6 +103,22 @@
 }
 
 func newTestServer(t *testing.T, timeouts func() Timeouts) *testServer {
+	t.Helper()
+	return startTestServer(t, timeouts, false)
+}
+
+// forEachServer runs a test with a server that keeps the buffers of idle connections,
+// and with one that reads their first byte without a buffer.
+func forEachServer(t *testing.T, test func(t *testing.T, s *testServer)) {
+	t.Helper()
+	for _, reduceMemory := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reduced memory %t", reduceMemory), func(t *testing.T) {
+			test(t, startTestServer(t, longTimeouts, reduceMemory))
+		})
+	}
+}
+
+func startTestServer(t *testing.T, timeouts func() Timeouts, reduceMemory bool) *testServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -109,7 +126,7 @@
 	}
 	s := &testServer{t: t, handler: newGate(), tracker: NewTracker(timeouts),
 		listener: &gatedListener{TCPListener: l.(*net.TCPListener), accept: newGate(), beforeRead: newGate(), afterRead: newGate()}}
-	server := &fasthttp.Server{ConnState: s.tracker.OnStateChange, Handler: func(ctx *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{ConnState: s.tracker.OnStateChange, ReduceMemoryUsage: reduceMemory, Handler: func(ctx *fasthttp.RequestCtx) {
 		s.handler.pass()
 		ctx.SetBodyString("answer to " + string(ctx.Path()))
 	}}
@@ -202,56 +219,59 @@
 // TestRequestReadDuringCloseIsAnswered guards against a connection that is closed as
 // idle after its next request has been read, which then gets no answer.
 func TestRequestReadDuringCloseIsAnswered(t *testing.T) {
-	s := newTestServer(t, longTimeouts)
-	callers := append(s.keptCallers(20), s.dial())
-	s.listener.afterRead.close()
-	for _, c := range callers {
-		c.send("/next")
-	}
-	s.listener.afterRead.awaitHeld(t, len(callers))
-	time.Sleep(2 * nextRequestTime)
-	s.close()
-	s.listener.afterRead.open()
-	for _, c := range callers {
-		c.wantAnswer("/next")
-	}
-	if n := s.tracker.ReadInClose.Value(); n != int64(len(callers)) {
-		t.Errorf("%d requests counted as read after the close began, want %d", n, len(callers))
-	}
+	forEachServer(t, func(t *testing.T, s *testServer) {
+		callers := append(s.keptCallers(20), s.dial())
+		s.listener.afterRead.close()
+		for _, c := range callers {
+			c.send("/next")
+		}
+		s.listener.afterRead.awaitHeld(t, len(callers))
+		time.Sleep(2 * nextRequestTime)
+		s.close()
+		s.listener.afterRead.open()
+		for _, c := range callers {
+			c.wantAnswer("/next")
+		}
+		if n := s.tracker.ReadInClose.Value(); n != int64(len(callers)) {
+			t.Errorf("%d requests counted as read after the close began, want %d", n, len(callers))
+		}
+	})
 }
 
 // TestRequestUnreadAtCloseIsAnswered guards against a reset of connections whose next
 // request has arrived and is not read yet.
 func TestRequestUnreadAtCloseIsAnswered(t *testing.T) {
-	s := newTestServer(t, longTimeouts)
-	s.listener.beforeRead.close()
-	callers := make([]*caller, 20)
-	for i := range callers {
-		callers[i] = s.dial()
-		callers[i].send("/next")
-	}
-	s.listener.beforeRead.awaitHeld(t, len(callers))
-	time.Sleep(2 * nextRequestTime)
-	s.close()
-	s.listener.beforeRead.open()
-	for _, c := range callers {
-		c.wantAnswer("/next")
-	}
+	forEachServer(t, func(t *testing.T, s *testServer) {
+		s.listener.beforeRead.close()
+		callers := make([]*caller, 20)
+		for i := range callers {
+			callers[i] = s.dial()
+			callers[i].send("/next")
+		}
+		s.listener.beforeRead.awaitHeld(t, len(callers))
+		time.Sleep(2 * nextRequestTime)
+		s.close()
+		s.listener.beforeRead.open()
+		for _, c := range callers {
+			c.wantAnswer("/next")
+		}
+	})
 }
 
 // TestPipelinedRequestDuringCloseIsAnswered guards against a close that drops a
 // request which was read together with the one before it, and the answer to that one.
 func TestPipelinedRequestDuringCloseIsAnswered(t *testing.T) {
-	s := newTestServer(t, longTimeouts)
-	s.handler.close()
-	c := s.dial()
-	c.send("/first", "/second")
-	s.handler.awaitHeld(t, 1)
-	s.close()
-	s.handler.open()
-	c.wantAnswer("/first")
-	c.wantAnswer("/second")
-	c.wantEnd()
+	forEachServer(t, func(t *testing.T, s *testServer) {
+		s.handler.close()
+		c := s.dial()
+		c.send("/first", "/second")
+		s.handler.awaitHeld(t, 1)
+		s.close()
+		s.handler.open()
+		c.wantAnswer("/first")
+		c.wantAnswer("/second")
+		c.wantEnd()
+	})
 }
 
 // TestAcceptBacklogIsServedAtClose guards against a reset of connections that wait to
@@ -279,26 +299,48 @@
 // TestCloseEndsIdleConnections guards against a close that leaves idle connections
 // open, and against bytes without a request on them.
 func TestCloseEndsIdleConnections(t *testing.T) {
-	s := newTestServer(t, longTimeouts)
-	callers := append(s.keptCallers(5), s.dial())
-	s.handler.close()
-	busy := s.dial()
-	busy.send("/busy")
-	s.handler.awaitHeld(t, 1)
-	s.close()
-	for _, c := range callers {
-		c.wantEnd()
-	}
-	if n := s.tracker.ClosedIdle.Value(); n != int64(len(callers)) {
-		t.Errorf("%d connections counted as closed idle, want %d", n, len(callers))
-	}
-	if n := s.tracker.Open(); n != 1 {
-		t.Errorf("%d connections are open, want that of the running request", n)
-	}
-	s.handler.open()
-	busy.wantAnswer("/busy")
-	busy.wantEnd()
-	if _, err := net.Dial("tcp", s.listener.Addr().String()); err == nil {
-		t.Error("the listener is still open")
+	forEachServer(t, func(t *testing.T, s *testServer) {
+		callers := append(s.keptCallers(5), s.dial())
+		s.handler.close()
+		busy := s.dial()
+		busy.send("/busy")
+		s.handler.awaitHeld(t, 1)
+		s.close()
+		for _, c := range callers {
+			c.wantEnd()
+		}
+		if n := s.tracker.ClosedIdle.Value(); n != int64(len(callers)) {
+			t.Errorf("%d connections counted as closed idle, want %d", n, len(callers))
+		}
+		if n := s.tracker.Open(); n != 1 {
+			t.Errorf("%d connections are open, want that of the running request", n)
+		}
+		s.handler.open()
+		busy.wantAnswer("/busy")
+		busy.wantEnd()
+		if _, err := net.Dial("tcp", s.listener.Addr().String()); err == nil {
+			t.Error("the listener is still open")
+		}
+	})
+}
+
+// TestIdleTimeoutChangesWhileIdle guards against a connection that is closed after an
+// idle timeout which the configuration has changed since the connection became idle.
+func TestIdleTimeoutChangesWhileIdle(t *testing.T) {
+	var idle atomic.Int64
+	for name, times := range map[string][2]time.Duration{"longer": {400 * time.Millisecond, time.Minute}, "shorter": {time.Minute, 400 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			idle.Store(int64(times[0]))
+			s := newTestServer(t, func() Timeouts { return Timeouts{Idle: time.Duration(idle.Load()), Read: time.Minute} })
+			c := s.keptCallers(1)[0]
+			idle.Store(int64(times[1]))
+			time.Sleep(800 * time.Millisecond)
+			c.send("/next")
+			c.wantAnswer("/next")
+			idle.Store(int64(400 * time.Millisecond))
+			if times[1] < time.Minute {
+				c.wantEnd()
+			}
+		})
 	}
 }
--- a/pkg/gate/server.go
+++ b/pkg/gate/server.go
@@ -5,10 +5,9 @@
 	"net"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/callerconn"
 )
 
 // closePollInterval is the time between two checks for open connections in a stop.
@@ -87,17 +86,6 @@
 
 // handleReadError answers a request that could not be read.
 func (g *Gate) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	r := refusal.NotRun(400, refusal.CodeInvalidRequest, "the request could not be read")
-	var small *fasthttp.ErrSmallBuffer
-	var netErr net.Error
-	switch {
-	case errors.As(err, &small):
-		r = refusal.NotRun(431, refusal.CodeHeadersTooLarge, "the request headers are too large")
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		r = refusal.NotRun(413, refusal.CodeBodyTooLarge, "the request body is too large")
-	case errors.As(err, &netErr) && netErr.Timeout():
-		r = refusal.NotRun(408, refusal.CodeRequestTimeout, "the request did not arrive in time")
-	}
-	g.writeRefusal(ctx, "none", r.WithCause(err))
+	g.writeRefusal(ctx, "none", callerconn.ReadRefusal(err))
 	ctx.SetConnectionClose()
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -42,15 +42,10 @@
 	// that of the host_state log lines.
 	housekeepingInterval = 250 * time.Millisecond
 	stateLogInterval     = 10 * time.Second
-	// readBufferBytes bounds the header of a caller's request.
-	readBufferBytes = 16 << 10
-	// requestReadTimeout and callerIdleTimeout are the limits for callers.
-	// Callers reuse connections that were idle for up to four fifths of the
-	// idle time that the operators declare, so the host must not close them
-	// earlier.
-	requestReadTimeout = 5 * time.Second
-	callerIdleTimeout  = 20 * time.Second
-	maxBodyBytes       = 8 << 20
+	// requestReadTimeout and operatorIdleTimeout are the limits for readiness checks
+	// and for metrics.
+	requestReadTimeout  = 5 * time.Second
+	operatorIdleTimeout = 20 * time.Second
 	// bodyBudgetShare is the part of the host's memory for answers that are read
 	// into memory at the same time. Endpoints in trouble may send without end.
 	bodyBudgetShare = 0.125
@@ -128,16 +123,16 @@
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
-	h.conns = callerconn.NewTracker(func() callerconn.Timeouts {
-		return callerconn.Timeouts{Idle: callerIdleTimeout, Read: requestReadTimeout}
-	})
+	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.followers = map[string]*keyedlog.Follower{
 		adapter.ConfigurationTopic: h.configurationFollower(),
 		adapter.EndpointsTopic:     h.endpointsFollower(),
 		adapter.HostsTopic:         h.peersFollower(),
 	}
 	h.server = &fasthttp.Server{
-		Handler: h.handler.Handle, ConnState: h.conns.OnStateChange, ReadBufferSize: readBufferBytes, MaxRequestBodySize: maxBodyBytes,
+		Handler: h.handle, ErrorHandler: h.refuseUnread, ConnState: h.conns.OnStateChange, HeaderReceived: h.bodyLimits,
+		// Without ReduceMemoryUsage each idle connection holds a buffer of this size.
+		ReadBufferSize: maxHeaderBytes, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
 	return h
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -29,7 +29,7 @@
 			ctx.SetContentType("text/plain; charset=utf-8")
 			ctx.SetBodyString(h.metricsText())
 		},
-		ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
+		ReadTimeout: requestReadTimeout, IdleTimeout: operatorIdleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
 	}
 	if err := server.Serve(l); err != nil && !h.draining.Load() {
 		h.log.WithError(err).Error("metrics_listener_failed")
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -33,7 +33,7 @@
 				ctx.SetStatusCode(503)
 			}
 		},
-		ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
+		ReadTimeout: requestReadTimeout, IdleTimeout: operatorIdleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
 	}
 	if err := server.Serve(l); err != nil && !h.draining.Load() {
 		h.log.WithError(err).Error("readiness_listener_failed")
