relay: a pause without a statement is no failure of the endpoint

Joining two changes: a 503 without the statement "not executed" is a failed attempt, and a 503 with Retry-After is no failure. An endpoint that answered with Retry-After and no statement was ejected (TestPausedServiceEndpointGetsNoRequests, both cases without a promise, failed on the joined tree and pass now).

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -128,7 +128,10 @@
 		answer.DisableReuse()
 	}
 	answer.Close()
-	h.recordSendError(x, m, err)
+	if !errors.Is(err, errNoStatement) || header.pause(answer.Status) == 0 {
+		// An endpoint that asks for a pause has not failed.
+		h.recordSendError(x, m, err)
+	}
 	return nil, steperr.Wrap(err, "check answer", m.Address)
 }
 
