--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -49,6 +49,8 @@
 	requests []brokenRequest
 	// crashed is set once the crash is confirmed.
 	crashed bool
+	// done is closed once it is known whether the process has crashed.
+	done chan struct{}
 }
 
 type brokenRequest struct {
@@ -72,13 +74,14 @@
 }
 
 // Broken records that the connection of a request to the endpoint process, which was
-// sent at a time, broke. It counts as evidence if the process has ended.
-func (g *Guard) Broken(process Crash, address string, features []Feature, sentAt time.Time) {
+// sent at a time, broke. It counts as evidence if the process has ended. The returned
+// channel is closed once that is known and recorded.
+func (g *Guard) Broken(process Crash, address string, features []Feature, sentAt time.Time) <-chan struct{} {
 	request := brokenRequest{features: features, sentAt: sentAt, brokenAt: time.Now()}
 	g.mu.Lock()
 	b := g.broken[process]
 	if b == nil {
-		b = &brokenRequests{}
+		b = &brokenRequests{done: make(chan struct{})}
 		g.broken[process] = b
 		g.wg.Go(func() { g.confirm(process, address, b) })
 	}
@@ -90,10 +93,12 @@
 	if crashed {
 		g.recordCrash(process, []brokenRequest{request})
 	}
+	return b.done
 }
 
 // confirm finds out whether the process has ended and records the evidence if so.
 func (g *Guard) confirm(process Crash, address string, b *brokenRequests) {
+	defer close(b.done)
 	ctx := context.Background()
 	crashed := g.opts.ProcessEnded(ctx, address)
 	if !crashed {
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -15,6 +15,10 @@
 // crash of its engine. An engine that survives a prompt for longer can run it.
 const maxWritingTime = time.Second
 
+// crashProbeWait bounds how long a broken request waits, before it is sent again, for the
+// answer to whether its endpoint has crashed. A refused connection takes one round trip.
+const crashProbeWait = 20 * time.Millisecond
+
 // featuresOf returns what the request may have in common with others that crash
 // endpoints: the parts of its prompt except the last one, which is its own, and the
 // whole request.
@@ -64,7 +68,8 @@
 
 // recordBroken records that the endpoint broke off the request, which was sent at a
 // time, while it may have been running it. firstEventAt is when its first event
-// arrived, zero if none did.
+// arrived, zero if none did. It returns once it is known whether the endpoint has
+// crashed, or after crashProbeWait, so that the request is not sent again in ignorance.
 func (h *Handler) recordBroken(x *exchange, m fleet.Member, sentAt, firstEventAt time.Time) {
 	if x.workCtx.Err() != nil || !firstEventAt.IsZero() && time.Since(firstEventAt) > maxWritingTime {
 		return
@@ -73,5 +78,12 @@
 	if current, found := h.Fleet.Find(m.ID); !found || current.StartedMillis != m.StartedMillis || current.State != m.State {
 		return
 	}
-	h.Guard.Broken(quarantine.Crash{Endpoint: m.ID, StartedMillis: m.StartedMillis}, m.Address, x.crashFeatures(), sentAt)
+	known := h.Guard.Broken(quarantine.Crash{Endpoint: m.ID, StartedMillis: m.StartedMillis}, m.Address, x.crashFeatures(), sentAt)
+	timer := time.NewTimer(crashProbeWait)
+	defer timer.Stop()
+	select {
+	case <-known:
+	case <-timer.C:
+	case <-x.workCtx.Done():
+	}
 }
