gate: wait for a silent engine until another one can take over

Callers of the product's interface saw an answer end early, with endpoint_failed, when its engine sent nothing for longer than the progress timeout (3 s) and then went on, while no other engine could take the request or the team's retry budget was spent.

The progress timeout broke the stream, and only then were the retry budget and admission asked.

The progress timeout now asks Dispatcher.GiveUpSilent. It applies retry.Silence, as relay does: the work may be repeated, attempts are left, and admission would accept the request at another endpoint now (Controller.WouldAccept, which sends nothing). Then the retry is taken from the budget, once. Otherwise the engine is waited for and the question is asked again every 250 ms, at most for 30 s in one attempt, because model requests have no deadline. The question is asked below the readers of the answer and of TLS, which cannot go on after an error. A connection that was idle before is still replaced once before the head of the answer without asking.

"attempt failed" has given_up_silent, "request ended" has silent_ms.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -129,20 +129,32 @@
 func (c *Controller) Offer(req *Request, now time.Time) Outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	req.OutputTokens = req.boundOutput(c.config.Lengths.Remaining(req.Class.Name, req.Produced))
-	var ahead time.Duration
-	if c.queue.Len() > 0 {
-		// A new request must not overtake held ones, so the predicted time of
-		// those that precede it in the queue order is added.
-		ahead = c.heldAhead(req)
-	}
-	outcome := c.decide(req, ahead, now)
+	outcome := c.decide(req, c.prepare(req), now)
 	if outcome.Verdict.Action == Hold {
 		c.queue.Push(c.queueTeam(req), req.Priority, req)
 	}
 	return outcome
 }
 
+// prepare sets the bound of the output of an offered request and returns the
+// predicted time of the held requests before it. It must be called with mu held.
+func (c *Controller) prepare(req *Request) (ahead time.Duration) {
+	req.OutputTokens = req.boundOutput(c.config.Lengths.Remaining(req.Class.Name, req.Produced))
+	if c.queue.Len() == 0 {
+		return 0
+	}
+	// A new request must not overtake held ones, so the predicted time of those that
+	// precede it in the queue order is added.
+	return c.heldAhead(req)
+}
+
+// WouldAccept reports whether Offer would accept the request now. Nothing is sent.
+func (c *Controller) WouldAccept(req *Request, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evaluate(req, c.prepare(req), now).Verdict.Action == Accept
+}
+
 // Poll reconsiders held requests in queue order and returns those that are now
 // accepted or refused. Call it after SetSnapshot, and every 50 ms while Held is
 // not 0.
@@ -235,9 +247,23 @@
 	return ""
 }
 
-// decide routes the request and applies the policy. ahead is the predicted time
-// of the held requests before it. It must be called with mu held.
+// decide evaluates the request and records the send if it is accepted. It must be
+// called with mu held.
 func (c *Controller) decide(req *Request, ahead time.Duration, now time.Time) Outcome {
+	outcome := c.evaluate(req, ahead, now)
+	if outcome.Verdict.Action == Accept {
+		c.recordSend(req, outcome.Plan, now)
+		outcome.Run = c.snap.Endpoints[outcome.Plan.Run.Index].Endpoint
+		if outcome.Plan.Disaggregated {
+			outcome.Decode = c.snap.Endpoints[outcome.Plan.Decode.Index].Endpoint
+		}
+	}
+	return outcome
+}
+
+// evaluate routes the request and applies the policy. ahead is the predicted time
+// of the held requests before it. It must be called with mu held.
+func (c *Controller) evaluate(req *Request, ahead time.Duration, now time.Time) Outcome {
 	in := Input{Class: req.Class, Waited: now.Sub(req.Arrived), HeldAhead: ahead, NeighbourLimit: c.config.NeighbourLimit}
 	in.OverShare = c.config.Fair && c.config.Ledger.OverShare(req.Team, overShareFactor)
 	var plan routing.Plan
@@ -251,16 +277,7 @@
 	in.Remaining = time.Duration(req.OutputTokens) * in.BetweenTokens
 	req.lastInput = in
 	req.uncachedTokens = max(0, req.PromptTokens+req.Produced-plan.Run.CachedTokens)
-	verdict := c.verdict(req, in)
-	outcome := Outcome{Request: req, Verdict: verdict, Plan: plan}
-	if verdict.Action == Accept {
-		c.recordSend(req, plan, now)
-		outcome.Run = c.snap.Endpoints[plan.Run.Index].Endpoint
-		if plan.Disaggregated {
-			outcome.Decode = c.snap.Endpoints[plan.Decode.Index].Endpoint
-		}
-	}
-	return outcome
+	return Outcome{Request: req, Verdict: c.verdict(req, in), Plan: plan}
 }
 
 func (c *Controller) verdict(req *Request, in Input) Verdict {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -334,6 +334,20 @@
 	}, d.clock.Now(), d.rng)
 }
 
+// GiveUpSilent implements gate.Dispatcher.
+func (d *Dispatcher) GiveUpSilent(work *gate.Work, silent endpoint.Endpoint) (time.Duration, bool) {
+	without := *work
+	without.ExcludedEndpoints = append(slices.Clone(work.ExcludedEndpoints), silent.ID)
+	silence := retry.Silence{
+		Repeatable: work.Repeatable, Sends: len(without.ExcludedEndpoints), MaxSends: retry.MaxAttempts,
+		Alternative: d.controller.WouldAccept(d.admissionRequest(&without), d.clock.Now()),
+	}
+	if !silence.MayGiveUp() {
+		return 0, false
+	}
+	return d.Retry(&without, gate.Failure{})
+}
+
 func (d *Dispatcher) countSuspect(endpointID string, change int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/gate"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routing"
 )
 
@@ -126,3 +127,29 @@
 		t.Fatalf("the freed endpoint %s was not used", first.Endpoint().ID)
 	}
 }
+
+// Guards against a silent endpoint that is given up although no other one can take
+// over or the retry budget is spent, and against a retry that is spent for nothing.
+func TestSilentEndpointIsKeptUnlessAnotherCanTakeOver(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDispatcher(clock)
+	w := work(clock)
+	w.Delivered = 3
+	silent := engineStatus("e1").Endpoint
+	d.Update([]endpoint.Status{engineStatus("e1")}, 1)
+	for range 100 {
+		if _, giveUp := d.GiveUpSilent(w, silent); giveUp {
+			t.Fatal("given up without an alternative")
+		}
+	}
+	d.Update([]endpoint.Status{engineStatus("e1"), engineStatus("e2")}, 1)
+	taken := 0
+	for range 100 {
+		if _, giveUp := d.GiveUpSilent(w, silent); giveUp {
+			taken++
+		}
+	}
+	if taken != int(retry.MaxTokens) || len(w.ExcludedEndpoints) != 0 || d.Held() != 0 {
+		t.Errorf("given up %d times, want %v; work changed: %v, held: %d", taken, retry.MaxTokens, w.ExcludedEndpoints, d.Held())
+	}
+}
--- a/pkg/engineclient/answers_test.go
+++ b/pkg/engineclient/answers_test.go
@@ -72,7 +72,7 @@
 // readWhole runs a request to its last event and returns the number of tokens.
 func readWhole(t *testing.T, c *Client, address, id string) (int, error) {
 	t.Helper()
-	s, err := c.Generate(t.Context(), address, enginewire.GenerateRequest{RequestID: id})
+	s, err := c.Generate(t.Context(), address, enginewire.GenerateRequest{RequestID: id}, nil)
 	if err != nil {
 		return 0, err
 	}
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -125,12 +125,15 @@
 // engine has accepted the request. Errors carry the step and the peer; the
 // cause is *ConnectError, *RefusedError (both: not run) or *BrokenError. The
 // stream ends when ctx does.
-func (c *Client) Generate(ctx context.Context, address string, request enginewire.GenerateRequest) (*Stream, error) {
-	stream, err := c.generate(ctx, address, request)
+//
+// onSilence is called when the engine has sent no byte for the progress timeout, and
+// returns how much longer to wait for one; zero or nil breaks the stream.
+func (c *Client) Generate(ctx context.Context, address string, request enginewire.GenerateRequest, onSilence func() time.Duration) (*Stream, error) {
+	stream, err := c.generate(ctx, address, request, onSilence)
 	return stream, steperr.Wrap(err, "generate", address)
 }
 
-func (c *Client) generate(ctx context.Context, address string, request enginewire.GenerateRequest) (*Stream, error) {
+func (c *Client) generate(ctx context.Context, address string, request enginewire.GenerateRequest, onSilence func() time.Duration) (*Stream, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, &ConnectError{Err: errors.Wrap(err, "encode request")}
@@ -140,8 +143,12 @@
 		if err != nil {
 			return nil, &ConnectError{Err: err}
 		}
+		if !pc.reused {
+			pc.raw.onSilence = onSilence
+		}
 		stream, err := c.open(ctx, pc, address, request.RequestID, body)
 		if err == nil {
+			pc.raw.onSilence = onSilence
 			return stream, nil
 		}
 		_ = pc.conn.Close()
--- a/pkg/engineclient/conn.go
+++ b/pkg/engineclient/conn.go
@@ -5,9 +5,12 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementineshed/clementineshed/pkg/connstate"
 )
 
@@ -16,13 +19,26 @@
 type progressTimeoutConn struct {
 	net.Conn
 	timeout time.Duration
+	// onSilence is nil or called when a read has taken too long. It returns how much
+	// longer to wait; zero fails the read. The readers of the answer and of TLS cannot
+	// go on after an error, so it must not reach them before the engine is given up.
+	onSilence func() time.Duration
 }
 
 func (c *progressTimeoutConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
+	wait := c.timeout
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if wait = c.onSilence(); wait <= 0 {
+			return n, err
+		}
 	}
-	return c.Conn.Read(p)
 }
 
 func (c *progressTimeoutConn) Write(p []byte) (int, error) {
@@ -40,6 +56,8 @@
 	conn net.Conn
 	r    *bufio.Reader
 	w    *bufio.Writer
+	// raw is the connection below TLS.
+	raw *progressTimeoutConn
 	// reused is set when the connection has carried an earlier request. If it
 	// fails before the first byte of the answer, the peer has most likely
 	// closed it because it was idle.
@@ -75,11 +93,12 @@
 	if err != nil {
 		return nil, err
 	}
-	var c net.Conn = &progressTimeoutConn{Conn: conn, timeout: p.progressTimeout}
+	raw := &progressTimeoutConn{Conn: conn, timeout: p.progressTimeout}
+	var c net.Conn = raw
 	if p.tls != nil {
 		c = tls.Client(c, p.tls())
 	}
-	return &pooledConn{conn: c, r: bufio.NewReaderSize(c, 4096), w: bufio.NewWriterSize(c, 4096)}, nil
+	return &pooledConn{conn: c, r: bufio.NewReaderSize(c, 4096), w: bufio.NewWriterSize(c, 4096), raw: raw}, nil
 }
 
 func (p *pool) takeIdle(address string) *pooledConn {
@@ -100,6 +119,7 @@
 
 func (p *pool) put(address string, pc *pooledConn) {
 	pc.idleSince = time.Now()
+	pc.raw.onSilence = nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil || len(p.idle[address]) >= p.maxIdle {
--- a/pkg/gate/fakes_test.go
+++ b/pkg/gate/fakes_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,7 +80,11 @@
 func (c *fakeConfig) Ready() bool { return true }
 
 // fakeDispatcher hands out its endpoints in order, without the excluded ones.
-type fakeDispatcher struct{ addresses []string }
+type fakeDispatcher struct {
+	addresses []string
+	// retries is the retry budget, not bounded if nil.
+	retries *atomic.Int64
+}
 
 func (d *fakeDispatcher) Acquire(_ context.Context, work *Work) (Assignment, error) {
 	for _, a := range d.addresses {
@@ -91,7 +96,16 @@
 }
 
 func (d *fakeDispatcher) Retry(work *Work, _ Failure) (time.Duration, bool) {
-	return 0, work.Repeatable
+	return 0, work.Repeatable && (d.retries == nil || d.retries.Add(-1) >= 0)
+}
+
+func (d *fakeDispatcher) GiveUpSilent(work *Work, silent endpoint.Endpoint) (time.Duration, bool) {
+	for _, a := range d.addresses {
+		if a != silent.ID && !slices.Contains(work.ExcludedEndpoints, a) {
+			return d.Retry(work, Failure{})
+		}
+	}
+	return 0, false
 }
 
 type fakeAssignment struct{ e endpoint.Endpoint }
@@ -135,6 +149,7 @@
 type testGate struct {
 	*Gate
 	config   *fakeConfig
+	dispatch *fakeDispatcher
 	crashes  *fakeCrashes
 	recorder *fakeRecorder
 	address  string
@@ -142,10 +157,11 @@
 
 func newTestGate(t *testing.T, limits Limits, endpoints ...string) *testGate {
 	t.Helper()
-	tg := &testGate{config: newFakeConfig(), crashes: &fakeCrashes{}, recorder: &fakeRecorder{ended: make(chan RequestRecord, 16)}}
+	tg := &testGate{config: newFakeConfig(), crashes: &fakeCrashes{}, recorder: &fakeRecorder{ended: make(chan RequestRecord, 16)},
+		dispatch: &fakeDispatcher{addresses: endpoints}}
 	engines := engineclient.New(engineclient.Options{ProgressTimeout: 300 * time.Millisecond})
 	tg.Gate = New(Options{
-		Config: tg.config, Dispatcher: &fakeDispatcher{addresses: endpoints}, CrashGuard: tg.crashes,
+		Config: tg.config, Dispatcher: tg.dispatch, CrashGuard: tg.crashes,
 		OnceExecutor: directOnce{}, Recorder: tg.recorder, Engines: engines, Services: NewServiceClient(nil),
 		Log: logging.Discard(), Clock: clockwork.NewRealClock(), Limits: limits,
 	})
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -101,10 +101,13 @@
 
 // Dispatcher chooses endpoints. Acquire may wait until the work can start; its
 // errors are *refusal.Refusal with ran "no". Retry reports whether the retry
-// budget allows another attempt, and how long to wait before it.
+// budget allows another attempt, and how long to wait before it. GiveUpSilent reports
+// whether another endpoint can take over from a silent one now; if so, it takes the
+// retry like Retry.
 type Dispatcher interface {
 	Acquire(ctx context.Context, work *Work) (Assignment, error)
 	Retry(work *Work, failure Failure) (wait time.Duration, allowed bool)
+	GiveUpSilent(work *Work, silent endpoint.Endpoint) (wait time.Duration, giveUp bool)
 }
 
 // Failure describes a failed attempt to the retry budget.
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -92,6 +92,47 @@
 	}
 }
 
+// Guards against an answer that is cut because its engine is silent for longer than
+// the progress timeout, although no other engine can take over, and against a retry
+// that is taken from the budget twice.
+func TestSilentEngineWithoutAlternativeIsKept(t *testing.T) {
+	pauses := func(request enginewire.GenerateRequest, w *eventWriter) {
+		w.tokens(request.SkipTokens, 3)
+		time.Sleep(700 * time.Millisecond)
+		w.tokens(3, 6)
+		w.done(6)
+	}
+	tests := []struct {
+		name    string
+		engines []string
+		retries int64
+		moves   bool
+	}{
+		{"one engine", []string{engine(t, pauses)}, -1, false},
+		{"no budget", []string{engine(t, pauses), engine(t, completeStream(6))}, 0, false},
+		{"one retry", []string{engine(t, pauses), engine(t, completeStream(6))}, 1, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGate(t, DefaultLimits, test.engines...)
+			if test.retries >= 0 {
+				tg.dispatch.retries = new(atomic.Int64)
+				tg.dispatch.retries.Store(test.retries)
+			}
+			began := time.Now()
+			status, body := tg.post(t, "/v1/chat/completions", testKey, chatBody)
+			if status != 200 {
+				t.Fatalf("got %d %s, want 200", status, body)
+			}
+			checkComplete(t, body, 6)
+			if moved := time.Since(began) < 600*time.Millisecond; moved != test.moves {
+				t.Errorf("answered after %v by another engine: %v, want %v", time.Since(began), moved, test.moves)
+			}
+		})
+	}
+}
+
 // Guards against an incomplete answer that looks complete.
 func TestBrokenAnswerIsVisiblyIncomplete(t *testing.T) {
 	breaks := func(request enginewire.GenerateRequest, w *eventWriter) { w.tokens(request.SkipTokens, 3) }
--- a/pkg/gate/session.go
+++ b/pkg/gate/session.go
@@ -20,6 +20,15 @@
 // answer can still meet its class's target.
 const targetCheckTokens = 16
 
+const (
+	// silenceCheckInterval is how often it is decided again whether to give up a
+	// silent engine.
+	silenceCheckInterval = 250 * time.Millisecond
+	// maxSilence bounds the time that one attempt waits for a silent engine: model
+	// requests have no deadline.
+	maxSilence = 30 * time.Second
+)
+
 // session runs one model request. When an attempt fails, it continues on
 // another endpoint. Only one goroutine uses it.
 type session struct {
@@ -42,6 +51,11 @@
 	// mayHaveRun is set once an engine may have begun to run the request. From
 	// then on no refusal may have ran "no".
 	mayHaveRun bool
+	// silentRetry is set if the retry was taken when the silent endpoint of the
+	// current attempt was given up.
+	silentRetry *silentRetry
+	// silent is how long silent endpoints were waited for beyond the progress timeout.
+	silent time.Duration
 	// firstEvent was read by start; the first call of nextEvent returns it.
 	firstEvent   *enginewire.Event
 	firstTokenAt time.Time
@@ -50,6 +64,9 @@
 	finished     bool
 }
 
+// silentRetry is a retry that has been taken, with the wait before it.
+type silentRetry struct{ wait time.Duration }
+
 // start finds an endpoint and waits for the first event, so that a request
 // that cannot run is refused before any byte of an answer is written.
 func (s *session) start() error {
@@ -165,7 +182,7 @@
 		}
 		request.KVFrom = prefill.Address
 	}
-	stream, err := s.gate.Engines.Generate(s.ctx, s.assignment.Endpoint().Address, request)
+	stream, err := s.gate.Engines.Generate(s.ctx, s.assignment.Endpoint().Address, request, s.onSilence(s.assignment.Endpoint()))
 	s.stream = stream
 	return s.assignment.Endpoint(), err
 }
@@ -176,7 +193,7 @@
 func (s *session) prefill(e endpoint.Endpoint, request enginewire.GenerateRequest) error {
 	request.MaxTokens = 1
 	request.SkipTokens = 0
-	stream, err := s.gate.Engines.Generate(s.ctx, e.Address, request)
+	stream, err := s.gate.Engines.Generate(s.ctx, e.Address, request, s.onSilence(e))
 	if err != nil {
 		return err
 	}
@@ -202,6 +219,34 @@
 	}
 }
 
+// onSilence returns the function that decides, while e is silent, how much longer to
+// wait for it. It returns zero if another endpoint can take over.
+func (s *session) onSilence(e endpoint.Endpoint) func() time.Duration {
+	var silent time.Duration
+	return func() time.Duration {
+		if s.ctx.Err() != nil || silent >= maxSilence {
+			return 0
+		}
+		if wait, giveUp := s.gate.Dispatcher.GiveUpSilent(&s.work, e); giveUp {
+			s.silentRetry = &silentRetry{wait: wait}
+			return 0
+		}
+		silent += silenceCheckInterval
+		s.silent += silenceCheckInterval
+		return silenceCheckInterval
+	}
+}
+
+// takeRetry reports whether another attempt is allowed after a failure, and how long
+// to wait before it.
+func (s *session) takeRetry(failure Failure) (time.Duration, bool) {
+	if taken := s.silentRetry; taken != nil {
+		s.silentRetry = nil
+		return taken.wait, true
+	}
+	return s.gate.Dispatcher.Retry(&s.work, failure)
+}
+
 // failAttempt ends the current attempt, which failed at e. It returns nil if
 // another attempt may follow.
 func (s *session) failAttempt(e endpoint.Endpoint, err error) error {
@@ -224,9 +269,10 @@
 	s.gate.Log.WithFields(log.Fields{
 		"request_id": s.work.RequestID, "step": step, "peer": peer, "endpoint": e.ID,
 		"attempt": s.attempts, "delivered": s.work.Delivered, "cause": err.Error(),
+		"given_up_silent": s.silentRetry != nil,
 	}).Warn("attempt failed")
 	failure := Failure{NotRun: errors.As(err, &refused) || errors.As(err, &notSent), Planned: plannedRefusal(refused)}
-	wait, allowed := s.gate.Dispatcher.Retry(&s.work, failure)
+	wait, allowed := s.takeRetry(failure)
 	if s.attempts >= maxAttempts || !allowed {
 		return s.retriesExhausted().WithCause(err)
 	}
@@ -319,7 +365,7 @@
 	s.gate.Recorder.RequestEnded(ended)
 	s.gate.Log.WithFields(log.Fields{
 		"request_id": s.work.RequestID, "step": "end", "team": ended.Team, "route": ended.Route,
-		"outcome": int(ended.Outcome), "attempts": s.attempts, "output_tokens": ended.OutputTokens,
+		"outcome": int(ended.Outcome), "attempts": s.attempts, "silent_ms": s.silent.Milliseconds(), "output_tokens": ended.OutputTokens,
 		"first_token_ms": ended.TimeToFirstToken.Milliseconds(), "completion_ms": ended.CompletionTime.Milliseconds(),
 	}).Debug("request ended")
 }
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -74,6 +74,10 @@
 	if x.workCtx.Err() != nil || !firstEventAt.IsZero() && time.Since(firstEventAt) > maxWritingTime {
 		return
 	}
+	if x.attempt.retryTaken {
+		// The host gave the silent endpoint up; the endpoint broke off nothing.
+		return
+	}
 	// A leaving endpoint ends without a crash.
 	if current, found := h.Fleet.Find(m.ID); !found || current.StartedMillis != m.StartedMillis || current.State != m.State {
 		return
