gate: send nothing to an endpoint before the Retry-After of its 503 has ended

Callers saw: while the only endpoints of a service or a model were full and had said for how long, each request was sent to them and turned away, or waited for its whole limit and was then told to return after a second.

Cause: engineclient.RefusedError and gate.ServiceAnswer dropped the Retry-After of the answer, so that no decision could use it; it is the same cause as in pkg/relay.

A restart, that is, another instance, ends it. If all endpoints of a request are paused beyond its limit, admission refuses it at once, with a Retry-After not before the first end.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -27,6 +27,8 @@
 		{"held work ahead", Input{Routed: true, FirstToken: 200 * ms, HeldAhead: 1500 * ms, Service: 150 * ms}, Refuse},
 		{"no endpoint", Input{Service: 100 * ms}, Hold},
 		{"no endpoint for long", Input{Service: 100 * ms, Waited: 1600 * ms}, Refuse},
+		{"short pause", Input{Service: 100 * ms, Waited: 500 * ms, PausedFor: 900 * ms}, Hold},
+		{"long pause", Input{Service: 100 * ms, Waited: 500 * ms, PausedFor: 1100 * ms}, Refuse},
 		{"long prompt, idle engine", Input{Routed: true, FirstToken: 1450 * ms, Service: 1440 * ms}, Accept},
 		{"below share", Input{Routed: true, FirstToken: 1000 * ms, Service: 100 * ms}, Accept},
 		{"above share", Input{Routed: true, FirstToken: 1000 * ms, Service: 100 * ms, OverShare: true}, Hold},
@@ -66,6 +68,14 @@
 	}
 }
 
+// Guards against callers that return before the pause of all endpoints has ended.
+func TestRetryAfterCoversPause(t *testing.T) {
+	in := Input{Class: chat, PausedFor: 2100 * time.Millisecond}
+	if got := DefaultPredictive().Decide(in); got.Action != Refuse || got.RetryAfter != 3*time.Second {
+		t.Errorf("got %+v, want a refusal with a RetryAfter of 3 s", got)
+	}
+}
+
 // Guards against an estimate that ignores the output generated so far or a change
 // in the output lengths of the class.
 func TestLengthsAreCorrectedAsTheyRun(t *testing.T) {
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -270,6 +270,9 @@
 	if c.snap != nil {
 		c.matches = c.config.Index.Lookup(c.matches[:0], req.Chain, routing.DefaultHolders)
 		plan, in.Routed = c.config.Router.Route(req.Request, c.snap, c.matches, c.config.Rand)
+		if end, paused := c.snap.FirstPauseEnd(req.Request); !in.Routed && paused {
+			in.PausedFor = max(0, end.Sub(now))
+		}
 	}
 	in.FirstToken = plan.Estimate.FirstToken
 	in.BetweenTokens = plan.Estimate.BetweenTokens
--- a/pkg/admission/decide.go
+++ b/pkg/admission/decide.go
@@ -39,6 +39,9 @@
 	// HeldAhead is the predicted prefill time of the held requests that precede
 	// this one in the queue order.
 	HeldAhead time.Duration
+	// PausedFor is the time until the first endpoint takes work again, if all that
+	// serve the request are paused; otherwise zero.
+	PausedFor time.Duration
 	// NeighbourLimit is the strictest limit between tokens of the classes that
 	// share the endpoints; zero if none has one.
 	NeighbourLimit time.Duration
--- a/pkg/admission/predictive.go
+++ b/pkg/admission/predictive.go
@@ -80,7 +80,7 @@
 
 // canStillMeet reports whether the request can meet its first-token limit, or
 // its completion limit if it has no other, once the held requests ahead of it
-// are served.
+// are served and an endpoint takes work.
 func (p Predictive) canStillMeet(in Input) bool {
 	limit := in.Class.FirstToken.Std()
 	if limit == 0 {
@@ -89,18 +89,20 @@
 	if limit <= 0 {
 		return in.Class.Completion.Std() == 0
 	}
-	return in.Waited+in.HeldAhead+in.Service <= limit
+	return in.Waited+max(in.HeldAhead, in.PausedFor)+in.Service <= limit
 }
 
 // retryAfter returns the predicted time until the backlog allows the request's
-// limits, within MinRetryAfter and MaxRetryAfter.
+// limits and an endpoint takes work, within MinRetryAfter and MaxRetryAfter.
 func (p Predictive) retryAfter(in Input) time.Duration {
 	backlog := in.HeldAhead
 	if in.Routed {
 		backlog += in.FirstToken
 	}
+	// A caller that returns before the end of the pause is refused again.
+	pause := (in.PausedFor + time.Second - 1).Truncate(time.Second)
 	wait := backlog - scale(in.Class.FirstToken.Std(), p.Margin) + in.Service
-	return min(MaxRetryAfter, max(MinRetryAfter, wait)).Round(time.Second)
+	return min(MaxRetryAfter, max(MinRetryAfter, wait.Round(time.Second), pause))
 }
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -20,8 +20,10 @@
 	"github.com/clementineshed/clementineshed/pkg/prefix"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
+	"github.com/clementineshed/clementineshed/pkg/retryafter"
 	"github.com/clementineshed/clementineshed/pkg/roles"
 	"github.com/clementineshed/clementineshed/pkg/routing"
+	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
 // PollInterval is how often held requests are reconsidered.
@@ -49,8 +51,14 @@
 	// OnDraining is called with an engine that refused a request because it is
 	// draining. It may be nil.
 	OnDraining func(e endpoint.Endpoint)
+	// OnPaused is called with an endpoint that wants no requests of this host for the
+	// time d. It may be nil.
+	OnPaused func(e endpoint.Endpoint, d time.Duration)
 }
 
+// instance is one instance of an endpoint.
+type instance struct{ id, instance string }
+
 // Dispatcher implements gate.Dispatcher. It is safe for concurrent use.
 type Dispatcher struct {
 	clock      clockwork.Clock
@@ -65,6 +73,14 @@
 	controller *admission.Controller
 	onOffered  func(roles.Work, bool)
 	onDraining func(endpoint.Endpoint)
+	onPaused   func(endpoint.Endpoint, time.Duration)
+	pauses     retryafter.Pauses[instance]
+
+	// snapshotMu serializes refreshSnapshot. statuses and hosts are those of the last
+	// Update, guarded by snapshotMu.
+	snapshotMu sync.Mutex
+	statuses   []endpoint.Status
+	hosts      int
 
 	mu sync.Mutex
 	// rates are the mean rates of the engines by model; guarded by mu.
@@ -93,6 +109,7 @@
 	d := &Dispatcher{
 		onOffered:  opts.OnOffered,
 		onDraining: opts.OnDraining,
+		onPaused:   opts.OnPaused,
 		rates:      map[string]engineRates{},
 		clock:      opts.Clock,
 		domain:     opts.Domain,
@@ -157,11 +174,13 @@
 func (d *Dispatcher) Held() int { return d.controller.Held() }
 
 // Update replaces the statuses of the endpoints and reconsiders held requests.
-// hosts is the number of entry hosts that send to the endpoints.
+// hosts is the number of entry hosts that send to the endpoints. PausedUntil is set by
+// the dispatcher.
 func (d *Dispatcher) Update(statuses []endpoint.Status, hosts int) {
-	d.controller.SetSnapshot(routing.NewSnapshot(routing.View{
-		Domain: d.domain, Hosts: hosts, Endpoints: statuses, Sends: d.sends, Trends: d.trends, Delays: d.delays,
-	}))
+	d.snapshotMu.Lock()
+	d.statuses, d.hosts = statuses, hosts
+	d.snapshotMu.Unlock()
+	d.refreshSnapshot()
 	rates := meanRates(statuses)
 	d.mu.Lock()
 	d.rates = rates
@@ -169,6 +188,35 @@
 	d.poll()
 }
 
+// refreshSnapshot makes the controller use the statuses of the last Update with the
+// present pauses.
+func (d *Dispatcher) refreshSnapshot() {
+	d.snapshotMu.Lock()
+	defer d.snapshotMu.Unlock()
+	now := d.clock.Now()
+	statuses := slices.Clone(d.statuses)
+	for i := range statuses {
+		if until := d.pauses.Until(instance{statuses[i].ID, statuses[i].Instance}); now.Before(until) {
+			statuses[i].PausedUntil = until
+		}
+	}
+	d.controller.SetSnapshot(routing.NewSnapshot(routing.View{
+		Domain: d.domain, Hosts: d.hosts, Endpoints: statuses, Sends: d.sends, Trends: d.trends, Delays: d.delays,
+	}))
+}
+
+// pause makes the dispatcher send nothing to an endpoint for a time.
+func (d *Dispatcher) pause(e endpoint.Endpoint, t time.Duration) {
+	if !d.pauses.Add(instance{e.ID, e.Instance}, t, d.clock.Now()) {
+		// The snapshot leaves out the endpoint already; Update takes over a later end.
+		return
+	}
+	d.refreshSnapshot()
+	if d.onPaused != nil {
+		d.onPaused(e, t)
+	}
+}
+
 // Run reconsiders held requests every PollInterval until ctx is done.
 func (d *Dispatcher) Run(ctx context.Context) {
 	ticker := d.clock.NewTicker(PollInterval)
@@ -423,12 +471,23 @@
 	if a.exclusive {
 		d.countSuspect(a.endpoint.ID, -1)
 	}
+	if result.RetryAfter > 0 {
+		d.pause(a.answered(result.Err), result.RetryAfter)
+	}
 	var refused *engineclient.RefusedError
 	if errors.As(result.Err, &refused) && refused.Code == enginewire.CodeDraining && d.onDraining != nil {
 		d.onDraining(a.endpoint)
 	}
 }
 
+// answered returns the endpoint whose answer ended the attempt with err.
+func (a *assignment) answered(err error) endpoint.Endpoint {
+	if _, peer := steperr.StepAndPeer(err); a.prefill != nil && peer == a.prefill.Address {
+		return *a.prefill
+	}
+	return a.endpoint
+}
+
 // notRun reports whether an attempt that ended with err certainly did not run,
 // because its engine refused it or could not be reached. With a separate prefill
 // engine the error does not show whether the prefill ran, so the result is
--- a/pkg/endpoint/types.go
+++ b/pkg/endpoint/types.go
@@ -97,4 +97,7 @@
 	LoadAge time.Duration
 	// HasLoad says that a load report has been received.
 	HasLoad bool
+	// PausedUntil is when the endpoint, which has asked this host for a pause, takes
+	// new work again; zero if it takes work.
+	PausedUntil time.Time
 }
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retryafter"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
@@ -39,6 +40,9 @@
 type RefusedError struct {
 	Status int
 	Code   string
+	// RetryAfter is the time for which the engine wants no further requests; zero if
+	// it did not say.
+	RetryAfter time.Duration
 }
 
 // Error implements the error interface.
@@ -205,7 +209,7 @@
 	if !refusal.Attributable(body.RequestID, s.requestID, s.pooled.reused) {
 		return &BrokenError{Err: errors.Errorf("refusal of request %q", body.RequestID)}
 	}
-	return &RefusedError{Status: status, Code: body.Code}
+	return &RefusedError{Status: status, Code: body.Code, RetryAfter: retryafter.OfResponse(s.resp, time.Now())}
 }
 
 func (s *Stream) broken(err error) error {
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -163,6 +163,9 @@
 		OnDraining: func(e endpoint.Endpoint) {
 			h.platform.table.Notify(endpoint.Notice{ID: e.ID, Instance: e.Instance, Kind: endpoint.NoticeDraining})
 		},
+		OnPaused: func(e endpoint.Endpoint, d time.Duration) {
+			h.log.WithFields(log.Fields{"step": "read answer", "endpoint": e.ID, "peer": e.Address, "pause_ms": d.Milliseconds()}).Info("endpoint asked for a pause; no requests are sent to it")
+		},
 	})
 	h.authority = newAuthority(h, seed, opts.Roles)
 	h.usage = newUsageReporter(h, seed)
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -97,6 +97,9 @@
 	PromptTokens, CachedTokens, OutputTokens int
 	// Err is nil after a complete answer.
 	Err error
+	// RetryAfter is the time for which the endpoint that answered wants no further
+	// requests; zero if it did not say.
+	RetryAfter time.Duration
 }
 
 // Dispatcher chooses endpoints. Acquire may wait until the work can start; its
@@ -157,6 +160,9 @@
 	// BodyOmitted is set when the outcome of an earlier attempt is known but its
 	// body was too large to keep.
 	BodyOmitted bool `json:"body_omitted,omitempty"`
+	// RetryAfter is the time for which the service's endpoint wants no further
+	// requests; zero if it did not say. It is not part of a recorded answer.
+	RetryAfter time.Duration `json:"-"`
 }
 
 // OnceExecutor runs each request at most once and calls send to send it. Errors
--- a/pkg/gate/service.go
+++ b/pkg/gate/service.go
@@ -184,7 +184,7 @@
 	}
 	e := assignment.Endpoint()
 	answer, err := g.Services.Call(ctx, e.Address, request)
-	assignment.Done(Result{Err: err})
+	assignment.Done(Result{Err: err, RetryAfter: answer.RetryAfter})
 	if err == nil {
 		return answer, nil
 	}
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
+	"github.com/clementineshed/clementineshed/pkg/retryafter"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
@@ -113,6 +114,7 @@
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 		Body:        append([]byte(nil), resp.Body()...),
+		RetryAfter:  retryafter.OfResponse(resp, time.Now()),
 	}, nil
 }
 
--- a/pkg/gate/session.go
+++ b/pkg/gate/session.go
@@ -300,7 +300,13 @@
 		s.stream = nil
 	}
 	if s.assignment != nil {
+		var retryAfter time.Duration
+		var refused *engineclient.RefusedError
+		if errors.As(err, &refused) {
+			retryAfter = refused.RetryAfter
+		}
 		s.assignment.Done(Result{
+			RetryAfter:   retryAfter,
 			PromptTokens: s.usage.PromptTokens,
 			CachedTokens: s.usage.CachedTokens,
 			OutputTokens: s.work.Delivered,
--- a/pkg/retryafter/retryafter.go
+++ b/pkg/retryafter/retryafter.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // MaxPause bounds a pause. A longer one is more likely a mistake of the endpoint, and
@@ -43,6 +45,16 @@
 	return limit(seconds)
 }
 
+// OfResponse returns how long the sender of a response with the status 503 wants no
+// further requests. It is zero for other responses, and if the sender does not say.
+func OfResponse(resp *fasthttp.Response, now time.Time) time.Duration {
+	if resp.StatusCode() != fasthttp.StatusServiceUnavailable {
+		return 0
+	}
+	d, _ := Parse(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), now)
+	return d
+}
+
 func limit(seconds float64) (time.Duration, bool) {
 	d := time.Duration(min(seconds, MaxPause.Seconds()) * float64(time.Second))
 	return d, d > 0
--- a/pkg/routing/filters.go
+++ b/pkg/routing/filters.go
@@ -17,8 +17,8 @@
 	return kept
 }
 
-// Available keeps endpoints that take new work: live, not excluded by the
-// request and, for engines, with a load report and not draining.
+// Available keeps endpoints that take new work: live, not paused, not excluded by
+// the request and, for engines, with a load report and not draining.
 type Available struct{}
 
 // Filter implements Filter.
@@ -34,12 +34,14 @@
 
 // Filter implements Filter.
 func (Serves) Filter(req Request, snap *Snapshot, candidates []Candidate) []Candidate {
-	return filterByStatus(snap, candidates, func(st *endpoint.Status) bool {
-		if req.Service != "" || !st.IsEngine() {
-			return st.Service == req.Service
-		}
-		return st.Load.Model == req.Model && (req.Version == "" || st.Load.Version == req.Version)
-	})
+	return filterByStatus(snap, candidates, func(st *endpoint.Status) bool { return serves(req, st) })
+}
+
+func serves(req Request, st *endpoint.Status) bool {
+	if req.Service != "" || !st.IsEngine() {
+		return st.Service == req.Service
+	}
+	return st.Load.Model == req.Model && (req.Version == "" || st.Load.Version == req.Version)
 }
 
 // NotLeaving removes, for work that must run at most once, endpoints that have an
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -148,6 +148,25 @@
 // model, in prompt tokens per second.
 func (s *Snapshot) PrefillRate(model string) float64 { return s.prefillRates[model] }
 
+// FirstPauseEnd returns when the first of the endpoints that serve the request takes
+// work again, if all of them are paused. It returns false otherwise.
+func (s *Snapshot) FirstPauseEnd(req Request) (time.Time, bool) {
+	var first time.Time
+	for i := range s.Endpoints {
+		st := &s.Endpoints[i]
+		if !serves(req, st) || !takesWorkUnlessPaused(*st) {
+			continue
+		}
+		if st.PausedUntil.IsZero() {
+			return time.Time{}, false
+		}
+		if first.IsZero() || st.PausedUntil.Before(first) {
+			first = st.PausedUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
 func (s *Snapshot) sent(i int) endpoint.SentWork {
 	if s.Sends == nil {
 		return endpoint.SentWork{}
@@ -157,6 +176,10 @@
 
 // available reports whether the endpoint takes new work.
 func available(st endpoint.Status) bool {
+	return takesWorkUnlessPaused(st) && st.PausedUntil.IsZero()
+}
+
+func takesWorkUnlessPaused(st endpoint.Status) bool {
 	if st.State != endpoint.StateLive {
 		return false
 	}
