dispatch: send draining notices for the prefill engine that refused

Callers saw: while a separate prefill engine drained, their prompts were sent to it again and refused, and the decode engine of the refused attempt, which did not drain, got no new work until its next load report.

Cause: the notice of a refusal named the engine of the assignment, which with a separate prefill is the decode engine, whichever engine refused.

The notice now names the engine whose address the error carries, as the pause of a Retry-After does.

Evidence: TestDrainingNoticeNamesThePrefillEngine printed "notices for [d1 d1], want p1 and d1" before and passes now.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -476,7 +476,7 @@
 	}
 	var refused *engineclient.RefusedError
 	if errors.As(result.Err, &refused) && refused.Code == enginewire.CodeDraining && d.onDraining != nil {
-		d.onDraining(a.endpoint)
+		d.onDraining(a.answered(result.Err))
 	}
 }
 
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,10 +11,13 @@
 
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
+	"github.com/clementineshed/clementineshed/pkg/engineclient"
+	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/gate"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routing"
+	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
 var chat = declaration.Class{Name: "chat", FirstToken: declaration.Duration(1600 * time.Millisecond), BetweenTokens: declaration.Duration(44 * time.Millisecond), Share: 0.95}
@@ -153,3 +157,19 @@
 		t.Errorf("given up %d times, want %v; work changed: %v, held: %d", taken, retry.MaxTokens, w.ExcludedEndpoints, d.Held())
 	}
 }
+
+// Guards against a prefill engine that gets further prompts after it has refused one
+// because it drains, and against a decode engine that gets none instead.
+func TestDrainingNoticeNamesThePrefillEngine(t *testing.T) {
+	var draining []string
+	d := New(Options{Domain: "nashua", Clock: clockwork.NewFakeClock(), Seed: 1, Delays: routing.UniformDelay(time.Millisecond),
+		OnDraining: func(e endpoint.Endpoint) { draining = append(draining, e.ID) }})
+	prefill, decode := endpoint.Endpoint{ID: "p1", Address: "10.0.0.1:1"}, endpoint.Endpoint{ID: "d1", Address: "10.0.0.2:1"}
+	for _, refusedBy := range []endpoint.Endpoint{prefill, decode} {
+		a := &assignment{dispatcher: d, request: d.admissionRequest(work(d.clock)), endpoint: decode, prefill: &prefill}
+		a.Done(gate.Result{Err: steperr.Wrap(&engineclient.RefusedError{Status: 503, Code: enginewire.CodeDraining}, "generate", refusedBy.Address)})
+	}
+	if !slices.Equal(draining, []string{"p1", "d1"}) {
+		t.Errorf("notices for %v, want p1 and d1", draining)
+	}
+}
