gate, platform: tests of answers that break off

TestServiceAnswerThatBreaksOffIsNoAnswer passed at once: the gate's client of plain services takes no answer that is cut at any byte of its head or body, or reset, and takes those that end with their connection.

--- a/pkg/gate/answer_test.go
+++ b/pkg/gate/answer_test.go
@@ -1,10 +1,13 @@
 package gate
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // postBroken sends a request whose answer must be cut, so that its framing shows that it
@@ -28,3 +31,52 @@
 	}
 	return string(received)
 }
+
+// TestServiceAnswerThatBreaksOffIsNoAnswer guards against a service's answer that breaks
+// off within its head or body, or is reset, and is taken as whole. One that ends with its
+// connection is whole.
+func TestServiceAnswerThatBreaksOffIsNoAnswer(t *testing.T) {
+	call := func(text string, reset bool) (ServiceAnswer, error) {
+		l := listen(t)
+		defer func() { _ = l.Close() }()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		}()
+		return NewServiceClient(nil).Call(t.Context(), l.Addr().String(), &ServiceRequest{Method: "GET", URI: "/"})
+	}
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	} {
+		for cut := range len(text) {
+			if answer, err := call(text[:cut], false); err == nil {
+				t.Errorf("%q was taken as %d %q", text[:cut], answer.Status, answer.Body)
+			}
+		}
+	}
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
+		for cut := range len(head) {
+			if answer, err := call(head[:cut], false); err == nil {
+				t.Errorf("%q was taken as %d %q", head[:cut], answer.Status, answer.Body)
+			}
+		}
+		if answer, err := call(head+"hello", false); err != nil || string(answer.Body) != "hello" {
+			t.Errorf("%q: got %q, %v", head, answer.Body, err)
+		}
+		if answer, err := call(head+"hello", true); err == nil {
+			t.Errorf("%q: a reset was taken as the end of %q", head, answer.Body)
+		}
+	}
+}
