orders: the answer to an earlier order is not used

What callers saw: an order counted as carried out, or as refused, by an answer that the receiver had written once more after an earlier order on the same connection.

Cause: an exchange on an order connection began without a look at what the connection had to read.

Fix: an exchange on a connection with unrequested bytes, or that the receiver has closed, fails before anything is written. Senders treat this as an unknown outcome and connect again.

Evidence: TestAnswerToAnEarlierOrderIsNotUsed on the code before printed "late false: the answer to the first order was taken for the second" and the same for late true.

--- a/pkg/orders/httpconn.go
+++ b/pkg/orders/httpconn.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/connstate"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
@@ -28,6 +29,10 @@
 // connection has ended.
 var ErrNotListed = errors.New("the receiver does not list this connection")
 
+// errStaleConn reports a connection that the receiver has closed, or on which it has sent
+// bytes that belong to no request.
+var errStaleConn = errors.New("the connection is closed or has unrequested bytes")
+
 // HTTPConn is one connection for sequential HTTP exchanges. It is not safe for
 // concurrent use. An HTTP client would pick a connection from its pool; the
 // sender of an order has to know which connection carries it and to reset that
@@ -38,6 +43,8 @@
 	w       *bufio.Writer
 	address string
 	holder  string
+	// used says that the connection has carried an exchange.
+	used bool
 }
 
 // Dial opens a connection to address ("IP:port"). Its requests name holder
@@ -142,6 +149,10 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
+	if l.r.Buffered() > 0 || l.used && connstate.Of(l.conn) != connstate.Idle {
+		return errStaleConn
+	}
+	l.used = true
 	if err := req.Write(l.w); err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/orders/reuse_test.go
@@ -0,0 +1,58 @@
+package orders
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestAnswerToAnEarlierOrderIsNotUsed guards against an answer that a receiver writes once
+// more and that is taken as the answer to the next order on the connection.
+func TestAnswerToAnEarlierOrderIsNotUsed(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+				if !late {
+					answer += answer
+				}
+				_, _ = io.WriteString(c, answer)
+				if late {
+					time.Sleep(5 * time.Millisecond)
+					_, _ = io.WriteString(c, answer)
+				}
+			}
+		}()
+		conn, err := Dial(t.Context(), l.Addr().String(), "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(conn.Close)
+		if err := conn.Post(t.Context(), "/", struct{}{}); err != nil {
+			t.Errorf("late %v, first order: %v", late, err)
+		}
+		time.Sleep(30 * time.Millisecond)
+		if err := conn.Post(t.Context(), "/", struct{}{}); err == nil {
+			t.Errorf("late %v: the answer to the first order was taken for the second", late)
+		}
+	}
+}
