callerconn: the idle test waits until the connection is idle

TestIdleTimeoutChangesWhileIdle failed once under -race (shorter: no answer to /next: unexpected EOF). The server reports a connection as idle after it has written the answer, so the test could shorten the timeout before the wait began. The tracker then rightly applied the shorter one.

--- a/pkg/callerconn/callerconn_test.go
+++ b/pkg/callerconn/callerconn_test.go
@@ -204,6 +204,30 @@
 	}
 }
 
+// awaitIdle waits until all connections wait for a request after the first. The server
+// reports that after it has written the answer.
+func (s *testServer) awaitIdle() {
+	s.t.Helper()
+	idle := func() bool {
+		s.tracker.mu.Lock()
+		defer s.tracker.mu.Unlock()
+		for c := range s.tracker.conns {
+			c.mu.Lock()
+			waits := c.waiting && c.kept
+			c.mu.Unlock()
+			if !waits {
+				return false
+			}
+		}
+		return true
+	}
+	for deadline := time.Now().Add(answerTimeout); !idle(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatal("a connection is not idle")
+		}
+	}
+}
+
 // keptCallers returns callers that have had an answer on their connection.
 func (s *testServer) keptCallers(n int) []*caller {
 	s.t.Helper()
@@ -333,11 +357,11 @@
 			idle.Store(int64(times[0]))
 			s := newTestServer(t, func() Timeouts { return Timeouts{Idle: time.Duration(idle.Load()), Read: time.Minute} })
 			c := s.keptCallers(1)[0]
+			s.awaitIdle()
 			idle.Store(int64(times[1]))
 			time.Sleep(800 * time.Millisecond)
 			c.send("/next")
 			c.wantAnswer("/next")
-			idle.Store(int64(400 * time.Millisecond))
 			if times[1] < time.Minute {
 				c.wantEnd()
 			}
