callerconn: a stop waits for the accept backlog

A host without open connections ended its stop while its listener was still accepting the backlog, so the process could exit under a request that had just been accepted. Tracker.Done reports the end of the listeners as well as that of the connections, and both stops wait for it.

Evidence: TestStopWaitsForAcceptBacklog with Done by open connections only: the tracker is done while a connection waits to be accepted The test of the gate's stop gets a gate of its own: it had shared one with a server whose listener stays open, and waited for that one.

--- a/pkg/callerconn/callerconn.go
+++ b/pkg/callerconn/callerconn.go
@@ -45,6 +45,8 @@
 	closing  atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]struct{} // guarded by mu
+	// listening counts the listeners that accept.
+	listening int // guarded by mu
 
 	// ClosedIdle counts the connections that were closed as idle, ReadInClose the
 	// requests whose first byte was read after Close.
@@ -59,7 +61,13 @@
 }
 
 // Listener returns a listener whose connections are tracked.
-func (t *Tracker) Listener(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
+// Accept must be called until it fails.
+func (t *Tracker) Listener(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listening++
+	return &listener{Listener: l, tracker: t}
+}
 
 // OnStateChange is the server's callback for a change in a connection's state.
 func (t *Tracker) OnStateChange(nc net.Conn, state fasthttp.ConnState) {
@@ -76,7 +84,7 @@
 
 // Close closes the connections that have been idle for some time, and the others once
 // they have been. l is the socket that callers connect to. It is closed after the
-// connections that wait at it have been accepted. Close does not wait; see Open.
+// connections that wait at it have been accepted. Close does not wait; see Done.
 func (t *Tracker) Close(l net.Listener) {
 	t.mu.Lock()
 	t.closing.Store(true)
@@ -101,6 +109,19 @@
 	return len(t.conns)
 }
 
+// Done reports whether the listeners and all connections are closed.
+func (t *Tracker) Done() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listening == 0 && len(t.conns) == 0
+}
+
+func (t *Tracker) stopListening() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listening--
+}
+
 func (t *Tracker) add(nc net.Conn) *conn {
 	c := &conn{Conn: nc, tracker: t}
 	t.mu.Lock()
@@ -119,15 +140,20 @@
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	ended   sync.Once
 }
 
 // Accept returns io.EOF once the listener of a closed tracker has been drained.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		if l.tracker.closing.Load() && isTimeout(err) {
+		drained := l.tracker.closing.Load() && isTimeout(err)
+		if drained {
 			_ = l.Listener.Close()
-			return nil, io.EOF
+			err = io.EOF
+		}
+		if drained || !isTimeout(err) {
+			l.ended.Do(l.tracker.stopListening)
 		}
 		return nil, err
 	}
--- a/pkg/callerconn/callerconn_test.go
+++ b/pkg/callerconn/callerconn_test.go
@@ -320,6 +320,33 @@
 	first.wantEnd()
 }
 
+// TestStopWaitsForAcceptBacklog guards against a process that ends while connections
+// wait to be accepted, because none is open.
+func TestStopWaitsForAcceptBacklog(t *testing.T) {
+	s := newTestServer(t, longTimeouts)
+	s.listener.accept.close()
+	first := s.dial()
+	s.listener.accept.awaitHeld(t, 1)
+	_ = first.conn.Close()
+	for s.tracker.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c := s.dial()
+	c.send("/new")
+	s.close()
+	if s.tracker.Done() {
+		t.Error("the tracker is done while a connection waits to be accepted")
+	}
+	s.listener.accept.open()
+	c.wantAnswer("/new")
+	c.wantEnd()
+	for deadline := time.Now().Add(answerTimeout); !s.tracker.Done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the tracker is not done after its last connection")
+		}
+	}
+}
+
 // TestCloseEndsIdleConnections guards against a close that leaves idle connections
 // open, and against bytes without a request on them.
 func TestCloseEndsIdleConnections(t *testing.T) {
--- a/pkg/gate/server.go
+++ b/pkg/gate/server.go
@@ -57,7 +57,7 @@
 // l is the socket that callers connect to. It waits until all are closed.
 func (g *Gate) CloseConnections(l net.Listener) {
 	g.conns.Close(l)
-	for g.conns.Open() > 0 {
+	for !g.conns.Done() {
 		time.Sleep(closePollInterval)
 	}
 }
--- a/pkg/gate/stop_test.go
+++ b/pkg/gate/stop_test.go
@@ -45,7 +45,7 @@
 // Guards against a stop that closes a connection whose next request has been read,
 // which then ends without an answer or a refusal.
 func TestRequestReadDuringStopIsAnswered(t *testing.T) {
-	tg := newTestGate(t, DefaultLimits)
+	tg := New(newTestGate(t, DefaultLimits).Options)
 	l := &heldListener{TCPListener: listen(t).(*net.TCPListener), hold: make(chan struct{}), held: make(chan struct{}), release: make(chan struct{})}
 	server := tg.Server()
 	served := make(chan struct{})
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -66,7 +66,7 @@
 	time.Sleep(min(lbRemovalTime, h.settings.Grace/2) - serving)
 	h.conns.Close(callers)
 	h.log.WithField("in_flight", h.handler.InFlight()).WithField("connections", h.conns.Open()).Info("host_closing_connections")
-	for h.conns.Open() > 0 && time.Since(started) < h.settings.Grace-stopMargin {
+	for !h.conns.Done() && time.Since(started) < h.settings.Grace-stopMargin {
 		time.Sleep(drainPollInterval)
 	}
 	h.log.WithFields(log.Fields{"in_flight": h.handler.InFlight(), "connections": h.conns.Open(), "closed_idle": h.conns.ClosedIdle.Value(),
