quarantine, gate: find messages that crash engines in unlike requests

Change: the Service decides by Suspects too, the decision that the relay uses. The features of a chat request are its messages except the last one. Entries of hosts of an earlier version count against the whole request only, as before.

--- a/pkg/bench/slopes/path.go
+++ b/pkg/bench/slopes/path.go
@@ -73,11 +73,12 @@
 
 type noCrashes struct{}
 
-func (noCrashes) Begin(quarantine.Fingerprint) (gate.CrashAttempt, error) { return noCrash{}, nil }
+func (noCrashes) Begin(quarantine.Request) (gate.CrashAttempt, error) { return noCrash{}, nil }
 
 type noCrash struct{}
 
 func (noCrash) Exclusive() bool                                                { return false }
+func (noCrash) Completed()                                                     {}
 func (noCrash) Done()                                                          {}
 func (noCrash) ConnectionBroken(context.Context, endpoint.Endpoint, time.Time) {}
 
--- a/pkg/dispatch/pause_test.go
+++ b/pkg/dispatch/pause_test.go
@@ -52,9 +52,10 @@
 // noRecords ignores crashes and ended requests.
 type noRecords struct{}
 
-func (noRecords) Begin(quarantine.Fingerprint) (gate.CrashAttempt, error)        { return noRecords{}, nil }
+func (noRecords) Begin(quarantine.Request) (gate.CrashAttempt, error)            { return noRecords{}, nil }
 func (noRecords) Exclusive() bool                                                { return false }
 func (noRecords) Done()                                                          {}
+func (noRecords) Completed()                                                     {}
 func (noRecords) ConnectionBroken(context.Context, endpoint.Endpoint, time.Time) {}
 func (noRecords) RequestEnded(gate.RequestRecord)                                {}
 func (noRecords) Execute(ctx context.Context, _ *gate.ServiceRequest, send func(context.Context) (gate.ServiceAnswer, error)) (gate.ServiceAnswer, error) {
--- a/pkg/entryhost/crashes.go
+++ b/pkg/entryhost/crashes.go
@@ -83,8 +83,8 @@
 }
 
 // Begin implements gate.CrashGuard.
-func (c *crashGuard) Begin(f quarantine.Fingerprint) (gate.CrashAttempt, error) {
-	attempt, err := c.service.Begin(f)
+func (c *crashGuard) Begin(request quarantine.Request) (gate.CrashAttempt, error) {
+	attempt, err := c.service.Begin(request)
 	switch {
 	case err == nil:
 		return crashAttempt{attempt: attempt, guard: c}, nil
@@ -104,6 +104,9 @@
 // Exclusive implements gate.CrashAttempt.
 func (a crashAttempt) Exclusive() bool { return a.attempt.Exclusive }
 
+// Completed implements gate.CrashAttempt.
+func (a crashAttempt) Completed() { a.attempt.Completed() }
+
 // Done implements gate.CrashAttempt.
 func (a crashAttempt) Done() { a.attempt.Done() }
 
--- a/pkg/gate/chat.go
+++ b/pkg/gate/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/declaration"
@@ -62,6 +63,20 @@
 	return b.String()
 }
 
+// maxFeatures bounds the messages that count as parts of a prompt, the earliest first.
+const maxFeatures = 32
+
+// features returns what the request may have in common with others that crash engines:
+// its messages except the last one, which is its own.
+func (r *chatRequest) features() []quarantine.Feature {
+	shared := r.Messages[:len(r.Messages)-1]
+	features := make([]quarantine.Feature, 0, min(len(shared), maxFeatures))
+	for _, m := range shared[:cap(features)] {
+		features = append(features, quarantine.Feature(xxhash.Sum64String(r.Model+"\x00"+m.Role+"\x00"+string(m.Content))))
+	}
+	return features
+}
+
 // parseChat decodes and checks a request body. Errors are refusals with ran
 // "no".
 func parseChat(body []byte, maxOutput int) (*chatRequest, error) {
@@ -145,7 +160,7 @@
 			CacheSalt:  g.cacheSalt(c.team),
 			MaxTokens:  request.MaxTokens,
 		},
-		fingerprint: quarantine.FingerprintOf(c.team, route.Name, ctx.PostBody()),
+		identity: quarantine.Request{Fingerprint: quarantine.FingerprintOf(c.team, route.Name, ctx.PostBody()), Features: request.features()},
 	}
 	g.inflight.add(&inflightRequest{id: requestID, caller: c, conn: ctx.Conn(), cancel: cancel})
 	return s
--- a/pkg/gate/fakes_test.go
+++ b/pkg/gate/fakes_test.go
@@ -122,12 +122,13 @@
 	broken int
 }
 
-func (c *fakeCrashes) Begin(quarantine.Fingerprint) (CrashAttempt, error) { return fakeAttempt{c}, nil }
+func (c *fakeCrashes) Begin(quarantine.Request) (CrashAttempt, error) { return fakeAttempt{c}, nil }
 
 type fakeAttempt struct{ c *fakeCrashes }
 
 func (fakeAttempt) Exclusive() bool { return false }
 func (fakeAttempt) Done()           {}
+func (fakeAttempt) Completed()      {}
 
 func (a fakeAttempt) ConnectionBroken(context.Context, endpoint.Endpoint, time.Time) {
 	a.c.mu.Lock()
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -125,8 +125,8 @@
 // safe for concurrent use.
 type CrashGuard interface {
 	// Begin admits one attempt. Errors are *refusal.Refusal with ran "no". The
-	// caller ends the attempt with exactly one of ConnectionBroken and Done.
-	Begin(f quarantine.Fingerprint) (CrashAttempt, error)
+	// caller ends the attempt with exactly one of Completed, ConnectionBroken and Done.
+	Begin(request quarantine.Request) (CrashAttempt, error)
 }
 
 // CrashAttempt is one run of a request on one endpoint.
@@ -136,6 +136,8 @@
 	// ConnectionBroken ends the attempt after the connection to e broke; sent is
 	// when the attempt was sent.
 	ConnectionBroken(ctx context.Context, e endpoint.Endpoint, sent time.Time)
+	// Completed ends the attempt after a complete answer.
+	Completed()
 	// Done ends the attempt in every other case.
 	Done()
 }
--- a/pkg/gate/session.go
+++ b/pkg/gate/session.go
@@ -32,15 +32,16 @@
 // session runs one model request. When an attempt fails, it continues on
 // another endpoint. Only one goroutine uses it.
 type session struct {
-	gate        *Gate
-	ctx         context.Context
-	cancel      context.CancelCauseFunc
-	caller      caller
-	route       declaration.Route
-	model       string
-	prompt      string
-	work        Work
-	fingerprint quarantine.Fingerprint
+	gate   *Gate
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	caller caller
+	route  declaration.Route
+	model  string
+	prompt string
+	work   Work
+	// identity is how the crash guard recognises the request.
+	identity quarantine.Request
 
 	crashAttempt CrashAttempt
 	assignment   Assignment
@@ -103,6 +104,7 @@
 		}
 		if event.Done {
 			s.usage = event
+			s.crashAttempt.Completed()
 			s.endAttempt(nil)
 			return event, nil
 		}
@@ -149,7 +151,7 @@
 // ensureStream opens a stream if none is open.
 func (s *session) ensureStream() error {
 	for s.stream == nil {
-		crash, err := s.gate.CrashGuard.Begin(s.fingerprint)
+		crash, err := s.gate.CrashGuard.Begin(s.identity)
 		if err != nil {
 			return err
 		}
--- a/pkg/loadshare/evidence_test.go
+++ b/pkg/loadshare/evidence_test.go
@@ -13,7 +13,7 @@
 func TestEvidenceReachesOtherHosts(t *testing.T) {
 	a, b := start(t, "a"), start(t, "b")
 	connect(t, map[string]*node{"a": a, "b": b})
-	crash := quarantine.Evidence{Crash: quarantine.Crash{Endpoint: "engine", StartedMillis: 7}, Age: 20 * time.Millisecond}
+	crash := quarantine.Evidence{Crash: quarantine.Crash{Endpoint: "engine", Process: "7"}, Age: 20 * time.Millisecond}
 	var features []quarantine.Feature
 	for i := range featuresPerDatagram + 1 {
 		f := quarantine.Feature(1<<63 + uint64(i))
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -21,7 +21,7 @@
 				},
 				OnCrash: func(e Evidence) { reported = append(reported, e) }, OnRefuted: func([]Feature) {}, OnSuspected: func() {}, Log: discardLogger,
 			})
-			process := Crash{Endpoint: "engine", StartedMillis: 1}
+			process := Crash{Endpoint: "engine", Process: "1"}
 			sent := time.Now()
 			time.Sleep(runTime)
 			g.Broken(process, "address", []Feature{deadly}, sent)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -60,7 +60,7 @@
 func throughServices(all []*Service) func(int) (func(string), error) {
 	f := FingerprintOf("team", "route", []byte("poison"))
 	return func(host int) (func(string), error) {
-		attempt, err := all[host].Begin(f)
+		attempt, err := all[host].Begin(Request{Fingerprint: f})
 		if err != nil {
 			return nil, err
 		}
@@ -89,6 +89,41 @@
 	}
 }
 
+// Guards against a part of prompts that crashes an endpoint through each host, in requests
+// of which no two are alike, and against the refusal of sound requests that share their
+// other parts.
+func TestPartOfUnlikeRequestsIsQuarantinedOnAllHosts(t *testing.T) {
+	n := membership.NewNetwork(4, 2, 6)
+	n.Run(16)
+	all := newServices(n, logservice.NewMemory(n.Clock))
+	request := func(i int, features ...Feature) Request {
+		return Request{Fingerprint: FingerprintOf("team", "route", []byte(fmt.Sprint(i))), Features: features}
+	}
+	crashes := 0
+	for i := range 12 {
+		attempt, err := all[i%len(all)].Begin(request(i, shared, deadly))
+		if err == nil {
+			crashes++
+			attempt.Crashed(fmt.Sprint("engine-", i), "1")
+		}
+		n.Run(12)
+		sound, err := all[(i+1)%len(all)].Begin(request(100+i, shared))
+		if err != nil {
+			t.Fatalf("sound request %d: %v", i, err)
+		}
+		sound.Completed()
+		n.Run(12)
+	}
+	if crashes != crashesToSuspect {
+		t.Errorf("%d endpoints crashed, want %d", crashes, crashesToSuspect)
+	}
+	for i, s := range all {
+		if _, err := s.Begin(request(200, deadly)); !errors.Is(err, ErrQuarantined) {
+			t.Errorf("host %d: got %v, want ErrQuarantined", i, err)
+		}
+	}
+}
+
 // Guards against a quarantine that affects other requests or never ends.
 func TestOnlyTheFingerprintAndOnlyForATime(t *testing.T) {
 	n := membership.NewNetwork(4, 2, 2)
@@ -96,7 +131,7 @@
 	all := newServices(n, logservice.NewMemory(n.Clock))
 	poison := FingerprintOf("team", "route", []byte("poison"))
 	for i := range crashesToQuarantine {
-		attempt, err := all[i].Begin(poison)
+		attempt, err := all[i].Begin(Request{Fingerprint: poison})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -107,17 +142,17 @@
 		n.Run(12)
 	}
 	for i, s := range all {
-		if _, err := s.Begin(poison); !errors.Is(err, ErrQuarantined) {
+		if _, err := s.Begin(Request{Fingerprint: poison}); !errors.Is(err, ErrQuarantined) {
 			t.Errorf("host %d: %v", i, err)
 		}
-		other, err := s.Begin(FingerprintOf("team", "route", []byte("harmless")))
+		other, err := s.Begin(Request{Fingerprint: FingerprintOf("team", "route", []byte("harmless"))})
 		if err != nil || other.Exclusive {
 			t.Errorf("host %d: other request of the team affected: %v", i, err)
 		}
 	}
 	n.Clock.Advance(QuarantineTTL + time.Second)
 	for i, s := range all {
-		if _, err := s.Begin(poison); err != nil {
+		if _, err := s.Begin(Request{Fingerprint: poison}); err != nil {
 			t.Errorf("host %d: still refused after QuarantineTTL: %v", i, err)
 		}
 	}
@@ -131,26 +166,26 @@
 	all := newServices(n, logservice.NewMemory(n.Clock))
 	f := FingerprintOf("team", "route", []byte("suspect"))
 	for _, s := range all[:3] {
-		attempt, err := s.Begin(f)
+		attempt, err := s.Begin(Request{Fingerprint: f})
 		if err != nil {
 			t.Fatal(err)
 		}
 		attempt.Crashed("engine", "instance")
 	}
 	n.Run(8)
-	first, err := all[0].Begin(f)
+	first, err := all[0].Begin(Request{Fingerprint: f})
 	if err != nil || !first.Exclusive {
 		t.Fatalf("suspected request: %+v, %v", first, err)
 	}
 	n.Run(8)
 	for i, s := range all {
-		if _, err := s.Begin(f); !errors.Is(err, ErrRunning) {
+		if _, err := s.Begin(Request{Fingerprint: f}); !errors.Is(err, ErrRunning) {
 			t.Errorf("host %d: second run: got %v, want ErrRunning", i, err)
 		}
 	}
 	first.Done()
 	n.Run(8)
-	if second, err := all[1].Begin(f); err != nil || !second.Exclusive {
+	if second, err := all[1].Begin(Request{Fingerprint: f}); err != nil || !second.Exclusive {
 		t.Errorf("after the first run: %v", err)
 	}
 }
@@ -181,7 +216,7 @@
 	defer detecting.Close()
 	f := FingerprintOf("team", "route", []byte("poison"))
 	for i := range crashesToQuarantine {
-		attempt, err := detecting.Begin(f)
+		attempt, err := detecting.Begin(Request{Fingerprint: f})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -195,7 +230,7 @@
 	starting.Start()
 	defer starting.Close()
 	eventually(t, n, func() bool {
-		attempt, err := starting.Begin(f)
+		attempt, err := starting.Begin(Request{Fingerprint: f})
 		if err == nil {
 			attempt.Done()
 		}
--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -39,8 +40,11 @@
 
 // Kinds of membership entries.
 const (
-	// KindCrash entries have the key <fingerprint>/<endpoint>/<instance>.
+	// KindCrash entries have the key <fingerprint>/<endpoint>/<instance> and a
+	// crashValue as value.
 	KindCrash = "quarantine/crash"
+	// KindRefuted entries have a feature as key. A request with it has completed.
+	KindRefuted = "quarantine/refuted"
 	// KindQuarantined entries have the fingerprint as key.
 	KindQuarantined = "quarantine/blocked"
 	// KindRun entries have the fingerprint as key. Their value is not empty while
@@ -84,6 +88,23 @@
 	Host        string `json:"host"`
 }
 
+// crashValue is the value of a KindCrash entry: the features of the request, when it was
+// sent and when its endpoint crashed, in Unix milliseconds.
+type crashValue struct {
+	Features   []Feature `json:"features"`
+	SentMillis int64     `json:"sent_ms"`
+	AtMillis   int64     `json:"at_ms"`
+}
+
+// evidence returns the evidence of a crash.
+func (v crashValue) evidence(crash Crash, now time.Time) Evidence {
+	e := Evidence{Crash: crash, Age: now.Sub(time.UnixMilli(v.AtMillis))}
+	for _, f := range v.Features {
+		e.Running = append(e.Running, RunningFeature{Feature: f, SentAge: now.Sub(time.UnixMilli(v.SentMillis))})
+	}
+	return e
+}
+
 // Service admits requests and shares crashes and quarantines with the other
 // hosts. It is safe for concurrent use.
 type Service struct {
@@ -94,18 +115,20 @@
 	wake   chan struct{}
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	tracker *tracker
-	pending [][]byte
+	mu       sync.Mutex
+	tracker  *tracker
+	suspects *Suspects
+	pending  [][]byte
 }
 
 // New returns a service that is subscribed to the membership table. It uses the
 // quarantine stream only after Start.
 func New(opts Options) *Service {
-	s := &Service{opts: opts, tracker: newTracker(), wake: make(chan struct{}, 1)}
+	s := &Service{opts: opts, tracker: newTracker(), suspects: NewSuspects(), wake: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	opts.Table.Subscribe(KindCrash, s.onCrashEntry)
 	opts.Table.Subscribe(KindQuarantined, s.onQuarantineEntry)
+	opts.Table.Subscribe(KindRefuted, s.onRefutedEntry)
 	return s
 }
 
@@ -139,19 +162,25 @@
 	// nothing else until the attempt ends.
 	Exclusive bool
 
-	service     *Service
-	fingerprint Fingerprint
-	once        sync.Once
+	service *Service
+	request Request
+	sentAt  time.Time
+	once    sync.Once
 }
 
 // Begin admits a request to one endpoint. The error is ErrQuarantined or
 // ErrRunning; in both cases the request did not run. The caller ends the attempt
-// with Done or Crashed. Only the first of these calls has an effect.
-func (s *Service) Begin(f Fingerprint) (*Attempt, error) {
+// with Completed, Crashed or Done. Only the first of these calls has an effect.
+func (s *Service) Begin(request Request) (*Attempt, error) {
+	f := request.Fingerprint
+	now := s.opts.Clock.Now()
 	claim, ok := s.opts.Table.Get(KindRun, f.String())
 	runningElsewhere := ok && len(claim.Value) > 0 && claim.Host != s.opts.Host
 	s.mu.Lock()
-	verdict := s.tracker.decide(f, runningElsewhere, s.opts.Clock.Now())
+	verdict := s.tracker.decide(f, runningElsewhere, now)
+	if s.suspects.Harmful(request.Features, now) {
+		verdict = Quarantined
+	}
 	if verdict == RunExclusive {
 		s.tracker.runningExclusive[f] = true
 	}
@@ -164,10 +193,18 @@
 	case RunExclusive:
 		s.publishClaim(f, []byte{1})
 	}
-	return &Attempt{Exclusive: verdict == RunExclusive, service: s, fingerprint: f}, nil
+	return &Attempt{Exclusive: verdict == RunExclusive, service: s, request: request, sentAt: now}, nil
 }
 
-// Done ends the attempt without a crash.
+// Completed ends the attempt after a complete answer.
+func (a *Attempt) Completed() {
+	a.once.Do(func() {
+		a.service.recordSuccess(a.request.Features)
+		a.end()
+	})
+}
+
+// Done ends the attempt without a crash and without a complete answer.
 func (a *Attempt) Done() { a.once.Do(a.end) }
 
 // Crashed ends the attempt after a crash of its endpoint: the connection was
@@ -175,7 +212,7 @@
 // endpoint that left as announced.
 func (a *Attempt) Crashed(endpoint, instance string) {
 	a.once.Do(func() {
-		a.service.recordCrash(a.fingerprint, endpoint+"/"+instance)
+		a.service.recordCrash(a, Crash{Endpoint: endpoint, Process: instance})
 		a.end()
 	})
 }
@@ -185,9 +222,9 @@
 		return
 	}
 	a.service.mu.Lock()
-	delete(a.service.tracker.runningExclusive, a.fingerprint)
+	delete(a.service.tracker.runningExclusive, a.request.Fingerprint)
 	a.service.mu.Unlock()
-	a.service.publishClaim(a.fingerprint, nil)
+	a.service.publishClaim(a.request.Fingerprint, nil)
 }
 
 // publishClaim publishes whether this host runs the suspected request; an empty
@@ -198,16 +235,25 @@
 
 // recordCrash records a crash that this host detected. It publishes the crash if
 // it is new, and the quarantine if one is due.
-func (s *Service) recordCrash(f Fingerprint, crash string) {
+func (s *Service) recordCrash(a *Attempt, process Crash) {
+	f, crash := a.request.Fingerprint, process.Endpoint+"/"+process.Process
 	now := s.opts.Clock.Now()
+	// Hosts have only the time of day in common.
+	value := crashValue{Features: a.request.Features, SentMillis: a.sentAt.UnixMilli(), AtMillis: now.UnixMilli()}
 	s.mu.Lock()
+	suspected := s.suspects.Record(value.evidence(process, now), now)
 	isNew, quarantine := s.tracker.addCrash(f, crash, now.Add(SuspicionTTL), now)
 	if quarantine {
 		s.tracker.quarantine(f, now.Add(QuarantineTTL))
 	}
 	s.mu.Unlock()
+	s.logSuspected(suspected, process)
 	if isNew {
-		s.publish(membership.Entry{Kind: KindCrash, Key: f.String() + "/" + crash, Version: 1, TTL: SuspicionTTL, Lasting: true})
+		data, err := json.Marshal(value)
+		if err != nil {
+			s.opts.Logger.WithError(err).Error("crash not encoded; other hosts count it against the whole request only")
+		}
+		s.publish(membership.Entry{Kind: KindCrash, Key: f.String() + "/" + crash, Value: data, Version: 1, TTL: SuspicionTTL, Lasting: true})
 		s.opts.Logger.WithFields(log.Fields{"fingerprint": f.String(), "crash": crash}).Warn("request suspected after endpoint crash")
 	}
 	if quarantine {
@@ -250,7 +296,16 @@
 		return
 	}
 	now := s.opts.Clock.Now()
+	var value crashValue
+	// Hosts of an earlier version send no value.
+	if err := json.Unmarshal(e.Value, &value); err != nil && len(e.Value) > 0 {
+		s.opts.Logger.WithError(err).WithField("host", e.Host).Warn("features of a crash not readable")
+	}
+	// Endpoint names may have slashes, processes have none.
+	i := strings.LastIndexByte(crash, '/')
+	process := Crash{Endpoint: crash[:max(i, 0)], Process: crash[i+1:]}
 	s.mu.Lock()
+	suspected := s.suspects.Record(value.evidence(process, now), now)
 	_, quarantine := s.tracker.addCrash(f, crash, now.Add(e.TTL), now)
 	if quarantine {
 		// Two hosts may each have detected one crash, so every host that
@@ -258,11 +313,40 @@
 		s.tracker.quarantine(f, now.Add(QuarantineTTL))
 	}
 	s.mu.Unlock()
+	s.logSuspected(suspected, process)
 	if quarantine {
 		s.announceQuarantine(f, now)
 	}
 }
 
+func (s *Service) logSuspected(features []Feature, crash Crash) {
+	for _, f := range features {
+		s.opts.Logger.WithFields(log.Fields{"feature": f.String(), "endpoint": crash.Endpoint}).Warn("requests suspected after endpoint crashes")
+	}
+}
+
+// recordSuccess refutes what counts against the features of a completed request, and
+// tells the other hosts.
+func (s *Service) recordSuccess(features []Feature) {
+	s.mu.Lock()
+	refuted := s.suspects.RecordSuccess(features)
+	s.mu.Unlock()
+	for _, f := range refuted {
+		s.publish(membership.Entry{Kind: KindRefuted, Key: f.String(), Value: []byte{1}, Version: uint64(s.opts.Clock.Now().UnixNano()), TTL: SuspicionTTL, Lasting: true})
+	}
+}
+
+// onRefutedEntry handles a KindRefuted entry of the membership table.
+func (s *Service) onRefutedEntry(e membership.Entry) {
+	f, err := strconv.ParseUint(e.Key, 16, 64)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.RecordSuccess([]Feature{Feature(f)})
+}
+
 // onQuarantineEntry handles a KindQuarantined entry of the membership table.
 func (s *Service) onQuarantineEntry(e membership.Entry) {
 	if f, ok := parseFingerprint(e.Key); ok {
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -26,8 +26,8 @@
 // Crash identifies the end of one process of an endpoint.
 type Crash struct {
 	Endpoint string
-	// StartedMillis is when the process started, in Unix milliseconds.
-	StartedMillis int64
+	// Process tells the processes of the endpoint apart, such as by their start times.
+	Process string
 }
 
 // Evidence is one crash with the features of the requests that were running. Times are
@@ -159,7 +159,7 @@
 		list = append(list, *e)
 	}
 	slices.SortFunc(list, func(a, b Evidence) int {
-		return cmp.Or(cmp.Compare(a.Crash.Endpoint, b.Crash.Endpoint), cmp.Compare(a.Crash.StartedMillis, b.Crash.StartedMillis))
+		return cmp.Or(cmp.Compare(a.Crash.Endpoint, b.Crash.Endpoint), cmp.Compare(a.Crash.Process, b.Crash.Process))
 	})
 	return list
 }
--- a/pkg/quarantine/suspects_test.go
+++ b/pkg/quarantine/suspects_test.go
@@ -19,7 +19,7 @@
 
 // crashAfter records a crash of a new process at a time after the start.
 func crashAfter(s *Suspects, after time.Duration, features ...Feature) []Feature {
-	e := Evidence{Crash: Crash{Endpoint: fmt.Sprint("engine-", after), StartedMillis: 1}}
+	e := Evidence{Crash: Crash{Endpoint: fmt.Sprint("engine-", after), Process: "1"}}
 	for _, f := range features {
 		e.Running = append(e.Running, RunningFeature{Feature: f, SentAge: runTime})
 	}
@@ -110,7 +110,7 @@
 // evidence that never expires.
 func TestEvidenceCountsOnceAndExpires(t *testing.T) {
 	s := NewSuspects()
-	crash := Evidence{Crash: Crash{Endpoint: "engine", StartedMillis: 1}, Running: []RunningFeature{{Feature: deadly}}}
+	crash := Evidence{Crash: Crash{Endpoint: "engine", Process: "1"}, Running: []RunningFeature{{Feature: deadly}}}
 	for i := range 2 * crashesToSuspect {
 		s.Record(crash, testStart.Add(time.Duration(i)*time.Second))
 	}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -23,6 +23,13 @@
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
 
+// Request identifies a request to the Service.
+type Request struct {
+	Fingerprint Fingerprint
+	// Features are what it may share with requests that crash endpoints.
+	Features []Feature
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,7 +83,8 @@
 	if current, found := h.Fleet.Find(m.ID); !found || current.StartedMillis != m.StartedMillis || current.State != m.State {
 		return
 	}
-	known := h.Guard.Broken(quarantine.Crash{Endpoint: m.ID, StartedMillis: m.StartedMillis}, m.Address, x.crashFeatures(), sentAt)
+	process := quarantine.Crash{Endpoint: m.ID, Process: strconv.FormatInt(m.StartedMillis, 10)}
+	known := h.Guard.Broken(process, m.Address, x.crashFeatures(), sentAt)
 	timer := time.NewTimer(crashProbeWait)
 	defer timer.Stop()
 	select {
