quarantine: keep what decides, count dense crashes and restarts, repeat refutations

Change: crashes 0.5 s apart are separate, those that decide are kept first, from five crashes on equal evidence explains nothing, a request sent half a second after a known crash has found a new process. A host that has refuted a repeated crash tells so again. The host that finds the last crash and the first leader repeat the evidence, in few datagrams; its record has a time. A silent endpoint is not left for a retry that the quarantine would refuse.

--- a/pkg/loadshare/evidence.go
+++ b/pkg/loadshare/evidence.go
@@ -24,12 +24,26 @@
 	Refuted []quarantine.Feature
 }
 
-// ReportCrash sends the evidence of a crash of an endpoint.
-func (x *Exchange) ReportCrash(e quarantine.Evidence) {
-	for running := range slices.Chunk(e.Running, featuresPerDatagram) {
-		part := e
-		part.Running = running
-		x.sendEvidence(evidence{Crashes: []quarantine.Evidence{part}})
+// ReportCrashes sends the evidence of crashes of endpoints.
+func (x *Exchange) ReportCrashes(crashes []quarantine.Evidence) {
+	var batch evidence
+	features := 0
+	for _, e := range crashes {
+		for running := range slices.Chunk(e.Running, featuresPerDatagram) {
+			// The name of an endpoint takes about as much as two features.
+			size := len(running) + 2
+			if features > 0 && features+size > featuresPerDatagram+2 {
+				x.sendEvidence(batch)
+				batch, features = evidence{}, 0
+			}
+			part := e
+			part.Running = running
+			batch.Crashes = append(batch.Crashes, part)
+			features += size
+		}
+	}
+	if features > 0 {
+		x.sendEvidence(batch)
 	}
 }
 
--- a/pkg/loadshare/evidence_test.go
+++ b/pkg/loadshare/evidence_test.go
@@ -20,7 +20,7 @@
 		crash.Running = append(crash.Running, quarantine.RunningFeature{Feature: f, SentAge: time.Duration(i) * time.Millisecond})
 		features = append(features, f)
 	}
-	a.exchange.ReportCrash(crash)
+	a.exchange.ReportCrashes([]quarantine.Evidence{crash})
 	a.exchange.ReportRefuted(features)
 	eventually(t, "all evidence", func() bool {
 		b.mu.Lock()
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -13,6 +13,8 @@
 	// probeDelay is the time between the two probes for a crash: a process that ends
 	// may close its connections before its listener.
 	probeDelay = 100 * time.Millisecond
+	// refutationInterval bounds how often refuted features are reported again.
+	refutationInterval = 5 * time.Second
 	// crashMemory is how long after a confirmed crash further broken requests count
 	// against the same process without a probe.
 	crashMemory = time.Second
@@ -27,8 +29,9 @@
 	// has cleared, to report them to the other hosts. They must not block.
 	OnCrash   func(Evidence)
 	OnRefuted func([]Feature)
-	// OnSuspected is called after a feature has become suspected. It must not block.
-	OnSuspected func()
+	// OnSuspected is called after a feature has become suspected; own says that it did
+	// by a crash that this host has found. It must not block.
+	OnSuspected func(own bool)
 	Log         log.Interface
 }
 
@@ -42,6 +45,8 @@
 	// The fields below are guarded by mu.
 	suspects *Suspects
 	broken   map[Crash]*brokenRequests
+	// refutedAt is when refuted features were last reported again.
+	refutedAt time.Time
 }
 
 // brokenRequests are the requests whose connections to an endpoint process broke.
@@ -139,21 +144,41 @@
 	for f, age := range sentAge {
 		e.Running = append(e.Running, RunningFeature{Feature: f, SentAge: age})
 	}
-	g.ApplyEvidence(e)
+	if g.record(e) {
+		g.opts.OnSuspected(true)
+	}
 	g.opts.OnCrash(e)
 }
 
-// ApplyEvidence counts a crash, of this host or reported by another one.
+// ApplyEvidence counts a crash that another host reports. If requests of this host have
+// refuted it already, the other host has missed that and is told again.
 func (g *Guard) ApplyEvidence(e Evidence) {
+	if g.record(e) {
+		g.opts.OnSuspected(false)
+	}
+	g.mu.Lock()
+	now := time.Now()
+	var refuted []Feature
+	if now.Sub(g.refutedAt) >= refutationInterval {
+		if refuted = g.suspects.Refuted(e); len(refuted) > 0 {
+			g.refutedAt = now
+		}
+	}
+	g.mu.Unlock()
+	if len(refuted) > 0 {
+		g.opts.OnRefuted(refuted)
+	}
+}
+
+// record counts a crash and reports whether a feature has become suspected by it.
+func (g *Guard) record(e Evidence) bool {
 	g.mu.Lock()
 	suspected := g.suspects.Record(e, time.Now())
 	g.mu.Unlock()
 	for _, f := range suspected {
 		g.opts.Log.WithFields(log.Fields{"feature": f.String(), "endpoint": e.Crash.Endpoint}).Warn("requests_suspected")
 	}
-	if len(suspected) > 0 {
-		g.opts.OnSuspected()
-	}
+	return len(suspected) > 0
 }
 
 // Completed records that a request with the features has completed.
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -19,7 +19,7 @@
 					time.Sleep(10 * time.Millisecond)
 					return ended
 				},
-				OnCrash: func(e Evidence) { reported = append(reported, e) }, OnRefuted: func([]Feature) {}, OnSuspected: func() {}, Log: discardLogger,
+				OnCrash: func(e Evidence) { reported = append(reported, e) }, OnRefuted: func([]Feature) {}, OnSuspected: func(bool) {}, Log: discardLogger,
 			})
 			process := Crash{Endpoint: "engine", Process: "1"}
 			sent := time.Now()
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -11,8 +11,17 @@
 	// suspected. It exceeds crashesToQuarantine because many requests share a feature,
 	// so that a sound one is often running at a crash.
 	crashesToSuspect = 3
+	// crashesWithoutExplanation is the number of separate crashes from which on a feature
+	// that was present at just the same crashes is no explanation.
+	crashesWithoutExplanation = 5
+	// togetherWindow is the time within which engines may end of a common cause.
+	togetherWindow = 500 * time.Millisecond
+	// restartTime is the least time between two crashes of one endpoint. A request that
+	// was sent later than that after a known crash has crashed a new process, whose
+	// announcement has not been read yet.
+	restartTime = 500 * time.Millisecond
 	// maxFeatures bounds the features with evidence, maxCrashesPerFeature the crashes
-	// kept for each; the latest are kept.
+	// kept for each; those that decide are kept, else the latest.
 	maxFeatures          = 4096
 	maxCrashesPerFeature = 16
 	// expireInterval keeps the check of all evidence off the path of requests.
@@ -62,8 +71,9 @@
 // A crash counts against every feature of the requests that were running. A request
 // that completes refutes what counts against its features, since its endpoint has
 // survived them. A feature is suspected after crashesToSuspect separate crashes: a
-// request with it was sent to the later endpoint after the earlier one had crashed.
-// Endpoints that end together have another common cause. A suspected feature is
+// request with it was sent to the later endpoint after the earlier one had crashed, or
+// the crashes are togetherWindow apart. Endpoints that end together have another common
+// cause. A suspected feature is
 // not held against a request if a suspected feature that the request lacks was present
 // at all of these crashes as well and so explains them: sound requests share features
 // with harmful ones. If the explanation is wrong, the next crash shows it.
@@ -86,16 +96,19 @@
 	for _, r := range crash.Running {
 		f := r.Feature
 		list := s.features[f]
-		if slices.ContainsFunc(list, func(e evidence) bool { return e.crash == crash.Crash }) {
+		next := evidence{crash: crash.Crash, at: now.Add(-crash.Age), sentAt: now.Add(-r.SentAge)}
+		if slices.ContainsFunc(list, next.repeats) {
 			continue
 		}
 		if list == nil && len(s.features) >= maxFeatures {
-			s.dropOldest()
+			s.dropLeastRelevant()
 		}
 		before := separateCrashes(list)
-		list = append(list, evidence{crash: crash.Crash, at: now.Add(-crash.Age), sentAt: now.Add(-r.SentAge)})
+		list = append(list, next)
 		slices.SortStableFunc(list, func(a, b evidence) int { return a.at.Compare(b.at) })
-		list = list[max(0, len(list)-maxCrashesPerFeature):]
+		if len(list) > maxCrashesPerFeature {
+			list = dropUndecisive(list)
+		}
 		s.features[f] = list
 		if before < crashesToSuspect && separateCrashes(list) >= crashesToSuspect {
 			suspected = append(suspected, f)
@@ -104,6 +117,17 @@
 	return suspected
 }
 
+// Refuted returns the features of a crash that are known to be refuted.
+func (s *Suspects) Refuted(crash Evidence) []Feature {
+	var refuted []Feature
+	for _, r := range crash.Running {
+		if slices.ContainsFunc(s.features[r.Feature], func(e evidence) bool { return e.crash == crash.Crash && e.refuted }) {
+			refuted = append(refuted, r.Feature)
+		}
+	}
+	return refuted
+}
+
 // RecordSuccess refutes the crashes that count against features, because a request
 // with them has completed. It returns the features for which there were any.
 func (s *Suspects) RecordSuccess(features []Feature) []Feature {
@@ -169,10 +193,15 @@
 }
 
 // explained reports whether a suspected feature that is not among those of the request
-// was present at all crashes that count against f.
+// was present at all crashes that count against f. Two features may explain each other for
+// a while, see crashesWithoutExplanation.
 func (s *Suspects) explained(f Feature, request []Feature) bool {
+	many := separateCrashes(s.features[f]) >= crashesWithoutExplanation
 	for other := range s.features {
-		if !slices.Contains(request, other) && s.suspected(other) && s.presentAtAllCrashesOf(f, other) {
+		if slices.Contains(request, other) || !s.suspected(other) || !s.presentAtAllCrashesOf(f, other) {
+			continue
+		}
+		if !many || !s.presentAtAllCrashesOf(other, f) {
 			return true
 		}
 	}
@@ -188,13 +217,23 @@
 	return true
 }
 
+// repeats reports whether known is the same crash.
+func (e evidence) repeats(known evidence) bool {
+	return e.crash == known.crash && e.sentAt.Sub(known.at) < restartTime
+}
+
+// separateFrom reports whether the crash is separate from an earlier one.
+func (e evidence) separateFrom(earlier time.Time) bool {
+	return e.sentAt.After(earlier) || e.at.Sub(earlier) >= togetherWindow
+}
+
 // separateCrashes returns the number of separate crashes that are not refuted. list is
 // in the order of time.
 func separateCrashes(list []evidence) int {
 	n := 0
 	var counted time.Time
 	for _, e := range list {
-		if !e.refuted && (n == 0 || e.sentAt.After(counted)) {
+		if !e.refuted && (n == 0 || e.separateFrom(counted)) {
 			n++
 			counted = e.at
 		}
@@ -202,6 +241,24 @@
 	return n
 }
 
+// dropUndecisive drops a crash from a list in the order of time: the first refuted one,
+// else the first that is not separate, else the first.
+func dropUndecisive(list []evidence) []evidence {
+	i := slices.IndexFunc(list, func(e evidence) bool { return e.refuted })
+	if i < 0 {
+		i = 0
+		counted := list[0].at
+		for k, e := range list[1:] {
+			if !e.separateFrom(counted) {
+				i = k + 1
+				break
+			}
+			counted = e.at
+		}
+	}
+	return slices.Delete(list, i, i+1)
+}
+
 // expire drops evidence older than SuspicionTTL. Lists are in the order of time.
 func (s *Suspects) expire(now time.Time) {
 	if now.Before(s.expireAt) {
@@ -220,14 +277,18 @@
 	}
 }
 
-// dropOldest drops the feature whose last crash is the oldest.
-func (s *Suspects) dropOldest() {
-	var oldest Feature
+// dropLeastRelevant drops the feature with the fewest separate crashes, of several the one
+// whose last crash is the oldest. Requests with a suspected feature are refused, so that
+// no further crash of it comes.
+func (s *Suspects) dropLeastRelevant() {
+	var least Feature
+	fewest := -1
 	var at time.Time
 	for f, list := range s.features {
-		if last := list[len(list)-1].at; at.IsZero() || last.Before(at) {
-			oldest, at = f, last
+		n, last := separateCrashes(list), list[len(list)-1].at
+		if fewest < 0 || n < fewest || n == fewest && last.Before(at) {
+			least, fewest, at = f, n, last
 		}
 	}
-	delete(s.features, oldest)
+	delete(s.features, least)
 }
--- a/pkg/quarantine/suspects_test.go
+++ b/pkg/quarantine/suspects_test.go
@@ -110,9 +110,10 @@
 // evidence that never expires.
 func TestEvidenceCountsOnceAndExpires(t *testing.T) {
 	s := NewSuspects()
-	crash := Evidence{Crash: Crash{Endpoint: "engine", Process: "1"}, Running: []RunningFeature{{Feature: deadly}}}
 	for i := range 2 * crashesToSuspect {
-		s.Record(crash, testStart.Add(time.Duration(i)*time.Second))
+		age := time.Duration(i) * time.Second
+		report := Evidence{Crash: Crash{Endpoint: "engine", Process: "1"}, Age: age, Running: []RunningFeature{{Feature: deadly, SentAge: age + runTime}}}
+		s.Record(report, testStart.Add(age))
 	}
 	if s.Harmful([]Feature{deadly}, testStart.Add(time.Minute)) {
 		t.Error("one crash with several reports suffices")
@@ -136,6 +137,74 @@
 	}
 }
 
+// Guards against a deadly part that is never found because many requests with it wait at
+// engines, so that each was sent before the crashes of the last seconds.
+func TestDenseCrashesAreFound(t *testing.T) {
+	s := NewSuspects()
+	for i := range 100 {
+		at := time.Duration(i) * 200 * time.Millisecond
+		s.Record(Evidence{Crash: Crash{Endpoint: fmt.Sprint(i)}, Running: []RunningFeature{{Feature: deadly, SentAge: 2 * time.Second}}}, testStart.Add(at))
+		if s.Harmful([]Feature{deadly}, testStart.Add(at)) {
+			if i > 7 {
+				t.Errorf("found after %d crashes", i+1)
+			}
+			break
+		}
+		if i == 99 {
+			t.Error("never found")
+		}
+	}
+	for i := range 10 * maxCrashesPerFeature {
+		s.Record(Evidence{Crash: Crash{Endpoint: fmt.Sprint("late", i)}, Running: []RunningFeature{{Feature: deadly, SentAge: time.Minute}}}, testStart.Add(30*time.Second+time.Duration(i)*time.Millisecond))
+	}
+	if !s.Harmful([]Feature{deadly}, testStart.Add(31*time.Second)) {
+		t.Error("crashes of requests that had been sent before have ended the suspicion")
+	}
+}
+
+// Guards against a deadly part that is forgotten because requests with it are refused,
+// while unrelated crashes go on.
+func TestSuspectedFeatureIsNotForgottenForOthers(t *testing.T) {
+	s := NewSuspects()
+	for i := range crashesToSuspect {
+		crashAfter(s, time.Duration(i)*time.Second, deadly)
+	}
+	for i := range 2 * maxFeatures {
+		s.Record(Evidence{Crash: Crash{Endpoint: fmt.Sprint("other", i/60)}, Running: []RunningFeature{{Feature: Feature(1000 + i)}}}, testStart.Add(10*time.Second))
+	}
+	if !s.Harmful([]Feature{deadly}, testStart.Add(11*time.Second)) {
+		t.Error("the deadly part is forgotten")
+	}
+}
+
+// Guards against a sound part that was present at each crash and lets the deadly one
+// through for good.
+func TestMutualExplanationEnds(t *testing.T) {
+	s := NewSuspects()
+	for i := range crashesWithoutExplanation {
+		crashAfter(s, time.Duration(i)*time.Second, deadly, companion)
+	}
+	if !s.Harmful([]Feature{deadly, own}, testStart.Add(10*time.Second)) {
+		t.Error("the deadly part is still explained by the other one")
+	}
+	s.RecordSuccess([]Feature{companion})
+	if s.Harmful([]Feature{companion, own}, testStart.Add(11*time.Second)) {
+		t.Error("the sound part is refused after a request with it completed")
+	}
+}
+
+// Guards against an endpoint that crashes again and again before its new start is known,
+// which counted as one crash.
+func TestCrashesOfARestartedEndpointCount(t *testing.T) {
+	s := NewSuspects()
+	for i := range crashesToSuspect {
+		s.Record(Evidence{Crash: Crash{Endpoint: "engine", Process: "1"}, Running: []RunningFeature{{Feature: deadly, SentAge: runTime}}}, testStart.Add(time.Duration(i)*3*time.Second))
+	}
+	if !s.Harmful([]Feature{deadly}, testStart.Add(time.Minute)) {
+		t.Error("not found")
+	}
+}
+
 // Guards against memory that grows with the parts of all requests that ran at crashes.
 func TestEvidenceIsBounded(t *testing.T) {
 	s := NewSuspects()
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
@@ -79,8 +80,9 @@
 		// The host gave the silent endpoint up; the endpoint broke off nothing.
 		return
 	}
-	// A leaving endpoint ends without a crash.
-	if current, found := h.Fleet.Find(m.ID); !found || current.StartedMillis != m.StartedMillis || current.State != m.State {
+	// A leaving endpoint ends without a crash. The announcement of one that has crashed
+	// may be gone already, or be that of its next process.
+	if current, found := h.Fleet.Find(m.ID); found && current.StartedMillis == m.StartedMillis && current.State == endpoint.StateLeaving {
 		return
 	}
 	process := quarantine.Crash{Endpoint: m.ID, Process: strconv.FormatInt(m.StartedMillis, 10)}
--- a/pkg/relay/silence.go
+++ b/pkg/relay/silence.go
@@ -36,7 +36,8 @@
 		if x.workCtx.Err() != nil {
 			return 0
 		}
-		if current(now).MayGiveUp() && x.handler.Budget.Spend(x.service, now) {
+		// A request that has become suspected meanwhile would be refused by itself.
+		if current(now).MayGiveUp() && !x.handler.Guard.Harmful(x.crashFeatures()) && x.handler.Budget.Spend(x.service, now) {
 			x.attempt.retryTaken = true
 			x.silentLeft++
 			x.handler.Metrics.SilentLeft.Add(1)
--- a/pkg/relayhost/evidence.go
+++ b/pkg/relayhost/evidence.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// evidenceInterval is how often the leaders repeat what counts against suspected
-	// features, for hosts that have missed a datagram.
+	// evidenceInterval is how often the first leader repeats what counts against
+	// suspected features, for hosts that have missed a datagram.
 	evidenceInterval = time.Second
 	// evidenceKey is the key in the hosts' topic under which the evidence against
 	// suspected features is kept for hosts that start. No host has a name with a slash.
@@ -22,8 +22,15 @@
 // is safe for concurrent use.
 type storedEvidence struct {
 	mu sync.Mutex
-	// running is the number of features at each crash; guarded by mu.
-	running map[quarantine.Crash]int
+	// features is the number of features at each crash; guarded by mu.
+	features map[quarantine.Crash]int
+}
+
+// evidenceRecord is the value of evidenceKey. WrittenMillis is the time of day, in Unix
+// milliseconds, to which the ages in Evidence refer.
+type evidenceRecord struct {
+	WrittenMillis int64                 `json:"writtenMillis"`
+	Evidence      []quarantine.Evidence `json:"evidence"`
 }
 
 // replace sets what the store holds and reports whether that changes it.
@@ -34,17 +41,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := len(next) != len(s.running)
+	changed := len(next) != len(s.features)
 	for crash, n := range next {
-		changed = changed || s.running[crash] != n
+		changed = changed || s.features[crash] != n
 	}
-	s.running = next
+	s.features = next
 	return changed
 }
 
 func (h *Host) reportCrash(e quarantine.Evidence) {
 	h.log.WithField("endpoint", e.Crash.Endpoint).WithField("features", len(e.Running)).Warn("endpoint_crashed")
-	h.exchange.ReportCrash(e)
+	h.exchange.ReportCrashes([]quarantine.Evidence{e})
 }
 
 func (h *Host) reportRefuted(features []quarantine.Feature) { h.exchange.ReportRefuted(features) }
@@ -52,18 +59,18 @@
 // applyRefuted applies what another host has refuted.
 func (h *Host) applyRefuted(features []quarantine.Feature) { h.guard.ApplyRefuted(features) }
 
-// shareEvidence reports the evidence against suspected features again, and keeps it in
-// the store, if this host leads.
-func (h *Host) shareEvidence(ctx context.Context) {
+// shareEvidence reports the evidence against suspected features again if this host is the
+// first leader or found the last crash itself. The first leader also keeps it in the
+// store.
+func (h *Host) shareEvidence(ctx context.Context, found bool) {
 	leaders := h.leaders()
-	if !h.leads() {
+	first := h.leads() && leaders[0] == h.settings.Host
+	if !first && !found {
 		return
 	}
 	list := h.guard.Suspected()
-	for _, e := range list {
-		h.exchange.ReportCrash(e)
-	}
-	if leaders[0] != h.settings.Host || !h.stored.replace(list) {
+	h.exchange.ReportCrashes(list)
+	if !first || !h.stored.replace(list) {
 		return
 	}
 	if err := h.writeEvidence(ctx, list); err != nil {
@@ -77,7 +84,7 @@
 	var value []byte
 	if len(list) > 0 {
 		var err error
-		if value, err = json.Marshal(list); err != nil {
+		if value, err = json.Marshal(evidenceRecord{WrittenMillis: time.Now().UnixMilli(), Evidence: list}); err != nil {
 			return err
 		}
 	}
@@ -88,21 +95,28 @@
 
 // applyStoredEvidence applies the evidence that a leader has kept in the store.
 func (h *Host) applyStoredEvidence(value []byte) error {
-	var list []quarantine.Evidence
-	if err := json.Unmarshal(value, &list); err != nil {
+	var record evidenceRecord
+	if err := json.Unmarshal(value, &record); err != nil {
 		return err
 	}
-	h.stored.replace(list)
-	for _, e := range list {
-		h.guard.ApplyEvidence(e)
+	h.stored.replace(record.Evidence)
+	written := max(0, time.Since(time.UnixMilli(record.WrittenMillis)))
+	for _, e := range record.Evidence {
+		e.Age += written
+		for i := range e.Running {
+			e.Running[i].SentAge += written
+		}
+		if e.Age < quarantine.SuspicionTTL {
+			h.guard.ApplyEvidence(e)
+		}
 	}
 	return nil
 }
 
-// shareEvidenceSoon wakes runEvidence.
-func (h *Host) shareEvidenceSoon() {
+// shareEvidenceSoon wakes runEvidence. found says that this host found the last crash.
+func (h *Host) shareEvidenceSoon(found bool) {
 	select {
-	case h.evidenceWake <- struct{}{}:
+	case h.evidenceWake <- found:
 	default:
 	}
 }
@@ -112,12 +126,13 @@
 	ticker := time.NewTicker(evidenceInterval)
 	defer ticker.Stop()
 	for {
+		found := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-h.evidenceWake:
+		case found = <-h.evidenceWake:
 		case <-ticker.C:
 		}
-		h.shareEvidence(ctx)
+		h.shareEvidence(ctx, found)
 	}
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -85,7 +85,7 @@
 	guard    *quarantine.Guard
 	stored   storedEvidence
 	// evidenceWake starts the next round of runEvidence.
-	evidenceWake chan struct{}
+	evidenceWake chan bool
 	client       *upstream.Client
 	handler      *relay.Handler
 	metrics      *relay.Metrics
@@ -112,7 +112,7 @@
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan struct{}, 1), stateLoaded: make(chan struct{}),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
