relay: without a prefill engine a refusal goes to another decode engine

Callers got 503, and resumed streams were cut, when the first decode engine refused or could not be reached while no prefill engine was left, although others were free. A silent engine was given up for one that then refused.

Cause: that path asked one engine only, unlike the decode after a prefill. TestRefusalWithoutPrefillEngineGoesElsewhere failed before (503 no_endpoint for both routes).

--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -363,26 +364,40 @@
 // prefill engine is left.
 func (g *generation) openWithoutPrefill() (*stream, *refusal.Refusal) {
 	job := g.decodeJob()
-	choice, ok := g.model.ChooseDecodeWithPrefill(job, g.h.health(), time.Now())
-	if !ok {
-		return nil, g.decodeRefusal(nil)
-	}
-	if r := g.admit(choice); r != nil {
-		return nil, r
-	}
-	s, err := g.startDecode(choice, ForwardOptions{Phase: PhaseFull})
-	if err != nil {
+	job.Exclude = slices.Clone(job.Exclude)
+	var lastErr error
+	for sends := 1; ; sends++ {
+		choice, ok := g.model.ChooseDecodeWithPrefill(job, g.h.health(), time.Now())
+		if !ok {
+			return nil, g.decodeRefusal(lastErr)
+		}
+		if r := g.admit(choice); r != nil {
+			return nil, r
+		}
+		s, err := g.startDecode(choice, ForwardOptions{Phase: PhaseFull})
+		if err == nil {
+			return s, nil
+		}
 		if r := g.x.cancellationRefusal(); r != nil {
 			return nil, r
 		}
+		if r := g.h.quarantineRefusal(g.x); r != nil {
+			return nil, r
+		}
 		g.avoidSilent(choice.Engine)
-		if !provesNotRun(err) && g.mayRetryRun(err) {
+		job.Exclude = append(job.Exclude, choice.Engine.ID)
+		lastErr = err
+		switch {
+		case notSent(err) && sends < maxDecodeEngines:
+		case provesNotRun(err) && sends < maxDecodeEngines && g.mayRetryRun(err):
+			g.h.Metrics.Retries.Add(1)
+		case !provesNotRun(err) && g.mayRetryRun(err):
 			// The sends that may have run the request bound the recursion.
 			return g.open()
+		default:
+			return nil, g.decodeRefusal(err)
 		}
-		return nil, g.decodeRefusal(err)
 	}
-	return s, nil
 }
 
 // freeHandle frees, in the background, a handle that no engine will use. An engine that
