quarantine: no timer without an owner; docs after the review

Guard forgets confirmed crashes when the next request breaks instead of by a timer that outlives it. relay: confirmCrash says that it waits for the probe.

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -52,8 +52,8 @@
 // brokenRequests are the requests whose connections to an endpoint process broke.
 type brokenRequests struct {
 	requests []brokenRequest
-	// crashed is set once the crash is confirmed.
-	crashed bool
+	// crashedAt is when the crash was confirmed, zero if it is not.
+	crashedAt time.Time
 	// done is closed once it is known whether the process has crashed.
 	done chan struct{}
 }
@@ -84,13 +84,14 @@
 func (g *Guard) Broken(process Crash, address string, features []Feature, sentAt time.Time) <-chan struct{} {
 	request := brokenRequest{features: features, sentAt: sentAt, brokenAt: time.Now()}
 	g.mu.Lock()
+	g.forgetCrashes(request.brokenAt)
 	b := g.broken[process]
 	if b == nil {
 		b = &brokenRequests{done: make(chan struct{})}
 		g.broken[process] = b
 		g.wg.Go(func() { g.confirm(process, address, b) })
 	}
-	crashed := b.crashed
+	crashed := !b.crashedAt.IsZero()
 	if !crashed {
 		b.requests = append(b.requests, request)
 	}
@@ -111,21 +112,26 @@
 		crashed = g.opts.ProcessEnded(ctx, address)
 	}
 	g.mu.Lock()
-	b.crashed = crashed
 	requests := b.requests
-	if !crashed {
+	if crashed {
+		b.crashedAt = time.Now()
+	} else {
 		delete(g.broken, process)
 	}
 	g.mu.Unlock()
-	if !crashed {
-		return
+	if crashed {
+		g.recordCrash(process, requests)
+	}
+}
+
+// forgetCrashes drops the confirmed crashes that are older than crashMemory. It must be
+// called with mu held.
+func (g *Guard) forgetCrashes(now time.Time) {
+	for process, b := range g.broken {
+		if !b.crashedAt.IsZero() && now.Sub(b.crashedAt) > crashMemory {
+			delete(g.broken, process)
+		}
 	}
-	g.recordCrash(process, requests)
-	time.AfterFunc(crashMemory, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.broken, process)
-	})
 }
 
 // recordCrash records a crash during the requests and reports it.
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -68,11 +68,11 @@
 	return refusal.NotRun(503, refusal.CodeQuarantined, "requests like this one crash endpoints").WithRetryAfter(x.retryAfter(quarantine.SuspicionTTL))
 }
 
-// recordBroken records that the endpoint broke off the request, which was sent at a
+// confirmCrash records that the endpoint broke off the request, which was sent at a
 // time, while it may have been running it. firstEventAt is when its first event
 // arrived, zero if none did. It returns once it is known whether the endpoint has
 // crashed, or after crashProbeWait, so that the request is not sent again in ignorance.
-func (h *Handler) recordBroken(x *exchange, m fleet.Member, sentAt, firstEventAt time.Time) {
+func (h *Handler) confirmCrash(x *exchange, m fleet.Member, sentAt, firstEventAt time.Time) {
 	if x.workCtx.Err() != nil || !firstEventAt.IsZero() && time.Since(firstEventAt) > maxWritingTime {
 		return
 	}
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -104,7 +104,7 @@
 	h.markRunning(x)
 	body, err := answer.ReadAll(maxAnswerBytes)
 	if err != nil {
-		h.recordBroken(x, m, sentAt, time.Time{})
+		h.confirmCrash(x, m, sentAt, time.Time{})
 		h.recordSendError(x, m, err)
 		return nil, nil, err
 	}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -95,7 +95,7 @@
 			h.recordFailure(m, outlier.TimedOut, err)
 		}
 		if !notSent(err) && !errors.Is(err, upstream.ErrAnswerTimeout) {
-			h.recordBroken(x, m, sentAt, time.Time{})
+			h.confirmCrash(x, m, sentAt, time.Time{})
 		}
 		h.recordSendError(x, m, err)
 		return nil, err
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -206,7 +206,7 @@
 // that ends the request.
 func (g *generation) resume(s *stream, cause error) (*stream, *refusal.Refusal) {
 	s.close(placement.Failed)
-	g.h.recordBroken(g.x, s.member, s.sentAt, s.firstEventAt)
+	g.h.confirmCrash(g.x, s.member, s.sentAt, s.firstEventAt)
 	g.h.recordSendError(g.x, s.member, cause)
 	if r := g.x.cancellationRefusal(); r != nil {
 		return nil, r
