--- /dev/null
+++ b/review/kit/main.go
@@ -0,0 +1,41 @@
+// Command kit plays the scripts of the review. Usage: kit CASE ROOT FOLDER. It writes
+// FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it held and 2 if the
+// case could not run. With TROUBLE=0 there is no disruption.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: kit CASE ROOT FOLDER")
+		os.Exit(2)
+	}
+	cases := map[string]func(d *deployment, trouble bool) bool{"descriptors": descriptors}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(2)
+	}
+	root, err := filepath.Abs(os.Args[2])
+	if err != nil {
+		fatal(err)
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fatal(err)
+	}
+	rec := newRecord(filepath.Join(os.Args[3], "record.txt"))
+	d := newDeployment(root, dir, rec)
+	broken := play(d, os.Getenv("TROUBLE") != "0")
+	d.end()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(dir)
+	}
+	if broken {
+		os.Exit(1)
+	}
+}
