--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -14,7 +14,7 @@
 		fmt.Fprintln(os.Stderr, "usage: kit CASE ROOT FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(d *deployment, trouble bool) bool{"descriptors": descriptors, "bodies": bodies, "leaving": leaving}
+	cases := map[string]func(d *deployment, trouble bool) bool{"descriptors": descriptors, "bodies": bodies, "leaving": leaving, "zonecut": zoneCut}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
