Review: the stand-ins use free ports and end with their script

Cause: the stand-ins used fixed loopback addresses, and hosts went on when nobody read the output of a script. Change: addresses and ports are found at the start; the hosts end with the script.

--- a/review/kit/host.go
+++ b/review/kit/host.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,9 +16,10 @@
 	"time"
 )
 
+// metricsPort is that of the deploy file, peerPorts the size of internalPorts.
 const (
-	frontPort, readyPort, peerPort = 28368, 28369, 28780
-	lastPeerPort                   = 28795
+	metricsPort = 7783
+	peerPorts   = 16
 )
 
 // host is an entry host: the program of the deploy file in a process of its own.
@@ -33,9 +36,9 @@
 	starts  int
 }
 
-func (h *host) front() string { return net.JoinHostPort(h.ip, strconv.Itoa(frontPort)) }
+func (h *host) front() string { return net.JoinHostPort(h.ip, strconv.Itoa(h.d.ports)) }
 
-func (h *host) ready() string { return net.JoinHostPort(h.ip, strconv.Itoa(readyPort)) }
+func (h *host) ready() string { return net.JoinHostPort(h.ip, strconv.Itoa(h.d.ports+1)) }
 
 func (h *host) start() {
 	h.mu.Lock()
@@ -43,7 +46,7 @@
 	if h.stopped {
 		return
 	}
-	program := []string{filepath.Join(h.d.root, "target/clementineshed-relay"), "--metrics-port", "7783"}
+	program := []string{filepath.Join(h.d.root, "target/clementineshed-relay"), "--metrics-port", strconv.Itoa(metricsPort)}
 	if h.maxFds > 0 {
 		program = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, h.maxFds)}, program...)
 	}
@@ -78,6 +81,18 @@
 	}()
 }
 
+// hasEnded reports whether the process has ended.
+func (h *host) hasEnded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (h *host) pid() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -96,6 +111,9 @@
 	h.stopped = true
 	cmd, done := h.cmd, h.done
 	h.mu.Unlock()
+	if cmd == nil {
+		return
+	}
 	_ = cmd.Process.Signal(syscall.SIGCONT)
 	_ = cmd.Process.Kill()
 	<-done
@@ -145,19 +163,47 @@
 	platform  *http.Server
 	storeAddr string
 	cloudAddr string
-	hosts     []*host
-	runners   []*runner
-	stop      chan struct{}
+	// network is the first three bytes of the hosts' addresses, ports the first of the
+	// ports that all hosts use.
+	network string
+	ports   int
+	hosts   []*host
+	runners []*runner
+	stop    chan struct{}
+	ended   sync.Once
 }
 
 func newDeployment(root, dir string, rec *record) *deployment {
 	d := &deployment{root: root, dir: dir, rec: rec, store: newStore(), stop: make(chan struct{})}
+	d.findAddresses()
 	d.storeAddr = serve(d.store)
 	// The platform's API accepts all calls.
 	d.cloudAddr = serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	return d
 }
 
+// findAddresses chooses loopback addresses and ports that nobody uses.
+func (d *deployment) findAddresses() {
+	for range 100 {
+		d.network, d.ports = fmt.Sprintf("127.%d.%d", 64+rand.N(128), rand.N(256)), 20000+rand.N(10000)
+		free := true
+		for i := 1; i <= 8 && free; i++ {
+			for _, port := range []int{d.ports, d.ports + 1, metricsPort} {
+				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", d.network, i, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = l.Close()
+			}
+		}
+		if free {
+			return
+		}
+	}
+	fatal(errors.New("no free loopback addresses"))
+}
+
 func serve(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -192,7 +238,7 @@
 }
 
 func (d *deployment) addHost(i int, zone string, maxFds int) *host {
-	h := &host{name: fmt.Sprintf("front-%s-%d", zone, i), ip: fmt.Sprintf("127.0.%d.%d", 40+i, 10+i), d: d, maxFds: maxFds}
+	h := &host{name: fmt.Sprintf("front-%s-%d", zone, i), ip: fmt.Sprintf("%s.%d", d.network, i), d: d, maxFds: maxFds}
 	h.settings = filepath.Join(d.dir, h.name+".conf")
 	text := fmt.Sprintf(`node=%s
 role=entry
@@ -231,7 +277,7 @@
 cloud.address=%s
 cloud.duties=usage_report
 cloud.dutyPerS=50.0
-`, h.name, h.ip, zone, h.front(), h.ready(), peerPort, lastPeerPort, d.storeAddr, d.cloudAddr)
+`, h.name, h.ip, zone, h.front(), h.ready(), d.ports+2, d.ports+1+peerPorts, d.storeAddr, d.cloudAddr)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		fatal(err)
 	}
@@ -263,7 +309,7 @@
 	until := time.Now().Add(20 * time.Second)
 	for _, h := range d.hosts {
 		for !h.isReady() {
-			if time.Now().After(until) {
+			if time.Now().After(until) || h.hasEnded() {
 				d.rec.say("%s is not ready: the case can't run", h.name)
 				d.end()
 				os.Exit(2)
@@ -276,10 +322,15 @@
 
 // end stops all that the deployment started.
 func (d *deployment) end() {
-	close(d.stop)
-	for _, h := range d.hosts {
-		h.kill()
-	}
+	d.ended.Do(func() {
+		close(d.stop)
+		for _, h := range d.hosts {
+			h.kill()
+		}
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(d.dir)
+		}
+	})
 }
 
 func fatal(err error) {
--- a/review/kit/leaving.go
+++ b/review/kit/leaving.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,7 +23,7 @@
 	serveOn = 1500 * time.Millisecond
 )
 
-var client = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 10 * time.Second}}
+var client = http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 10 * time.Second}}
 
 // send sends a request to a host and returns its id, and the status and body of the
 // answer.
@@ -84,7 +85,8 @@
 	frozen := follower(d)
 	if frozen == nil {
 		d.rec.say("all hosts read the store: the case can't run")
-		return false
+		d.end()
+		os.Exit(2)
 	}
 	d.rec.say("%s gets the announcements of runners from the leaders", frozen.name)
 	var others []*host
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -6,7 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 func main() {
@@ -30,11 +33,22 @@
 	}
 	rec := newRecord(filepath.Join(os.Args[3], "record.txt"))
 	d := newDeployment(root, dir, rec)
+	// The hosts end with this process, also if nobody reads its output any more, if it is
+	// stopped, and after two minutes.
+	signal.Ignore(syscall.SIGPIPE)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(110 * time.Second):
+			rec.say("the case takes too long")
+		}
+		d.end()
+		os.Exit(2)
+	}()
 	broken := play(d, os.Getenv("TROUBLE") != "0")
 	d.end()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(dir)
-	}
 	if broken {
 		os.Exit(1)
 	}
