--- a/review/kit/descriptors.go
+++ b/review/kit/descriptors.go
@@ -108,6 +108,10 @@
 	}
 	// Machines count as slowed until 5 s after callers have pressed beyond the usual.
 	time.Sleep(9 * time.Second)
+	keptErrs := make([]error, len(hosts))
+	for i := range hosts {
+		_, keptErrs[i] = get(kept[i][len(kept[i])-1], lateAfter)
+	}
 	broken := false
 	for i, h := range hosts {
 		ready := h.isReady()
@@ -138,8 +142,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		wg.Wait()
-		_, keptErr := get(kept[i][len(kept[i])-1], lateAfter)
-		d.rec.say("%s: says ready: %v; %d of %d requests on new connections have no answer %v after they were sent; a request on a kept connection: error %v", h.name, ready, unanswered, probes, lateAfter, keptErr)
+		d.rec.say("%s: says ready: %v; %d of %d requests on new connections have no answer %v after they were sent; a request on a kept connection: error %v", h.name, ready, unanswered, probes, lateAfter, keptErrs[i])
 		for _, line := range h.logs("listener_failed") {
 			d.rec.say("%s: log: %s", h.name, line)
 		}
--- a/review/kit/host.go
+++ b/review/kit/host.go
@@ -233,7 +233,7 @@
 				"slotCount": 64, "kvCapacityTokens": 547862, "kvTokenBytes": 18432, "linkMbps": 370000.0, "handleTtlS": 5.0, "switchS": 3.0}},
 			map[string]any{"name": "desk", "healthPath": "/healthz", "maxConnections": 6000},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 60000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
 
