Review: doses of scripts 3 and 4, TROUBLE in each script

Cause: one of two runners of orders left, a share of 0.5, above the largest of the site file; the scripts left the reading of TROUBLE to the stand-ins.

--- a/review/kit/leaving.go
+++ b/review/kit/leaving.go
@@ -23,6 +23,21 @@
 	serveOn = 1500 * time.Millisecond
 )
 
+// lateOrders is the number of orders that are sent at the same time to a host once the
+// runner must not get any more.
+const lateOrders = 8
+
+// startDesk starts the four runners of orders that the site has and returns the one that
+// leaves, a share of 0.25.
+func startDesk(d *deployment) *runner {
+	leaves := startRunner(d.rec, "i-desk-leaves", "desk", "")
+	d.runners = append(d.runners, leaves)
+	for i := range 3 {
+		d.runners = append(d.runners, startRunner(d.rec, fmt.Sprintf("i-desk-stays-%d", i), "desk", ""))
+	}
+	return leaves
+}
+
 var client = http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 10 * time.Second}}
 
 // send sends a request to a host and returns its id, and the status and body of the
@@ -76,8 +91,7 @@
 		r.quiet = true
 		d.runners = append(d.runners, r)
 	}
-	leaves, stays := startRunner(d.rec, "i-desk-leaves", "desk", ""), startRunner(d.rec, "i-desk-stays", "desk", "")
-	d.runners = append(d.runners, leaves, stays)
+	leaves := startDesk(d)
 	for i, zone := range []string{"providence", "worcester", "nashua", "hartford", "providence", "worcester"} {
 		d.addHost(i+1, zone, 0)
 	}
@@ -118,7 +132,7 @@
 	leaves.leaving = true
 	leaves.mu.Unlock()
 	d.rec.say("%s begins to leave: its answers say so", leaves.id)
-	for range 8 {
+	for range 24 {
 		id, status, body, err := send(others[0], "/order/1", false)
 		d.rec.line("caller at %s: order %s: %d %q %v", others[0].name, id, status, body, err)
 		if strings.Contains(body, leaves.id) {
@@ -142,9 +156,9 @@
 		d.rec.say("%s exits", leaves.id)
 		leaves.exit()
 	})
-	leaves.mu.Lock()
-	leaves.work, stays.work = 400*time.Millisecond, 400*time.Millisecond
-	leaves.mu.Unlock()
+	for _, r := range d.runners {
+		r.work = 400 * time.Millisecond
+	}
 	from := ackAt.Add(drainTime + serveOn - 200*time.Millisecond)
 	if least := thawAt.Add(inTouch + 100*time.Millisecond); from.Before(least) {
 		from = least
@@ -153,7 +167,7 @@
 	late, lost := 0, 0
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for range 6 {
+	for range lateOrders {
 		wg.Go(func() {
 			id, status, body, err := send(frozen, "/order/2", false)
 			mu.Lock()
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -1,6 +1,6 @@
-// Command kit plays the scripts of the review. Usage: kit CASE ROOT FOLDER. It writes
+// Command kit plays the scripts of the review. Usage: kit CASE ROOT FOLDER trouble=0|1. It writes
 // FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it held and 2 if the
-// case could not run. With TROUBLE=0 there is no disruption.
+// case could not run. With trouble=0 there is no disruption.
 package main
 
 import (
@@ -13,8 +13,8 @@
 )
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: kit CASE ROOT FOLDER")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: kit CASE ROOT FOLDER trouble=0|1")
 		os.Exit(2)
 	}
 	cases := map[string]func(d *deployment, trouble bool) bool{"descriptors": descriptors, "bodies": bodies, "leaving": leaving, "zonecut": zoneCut}
@@ -47,7 +47,7 @@
 		d.end()
 		os.Exit(2)
 	}()
-	broken := play(d, os.Getenv("TROUBLE") != "0")
+	broken := play(d, os.Args[4] != "trouble=0")
 	d.end()
 	if broken {
 		os.Exit(1)
--- a/review/kit/zonecut.go
+++ b/review/kit/zonecut.go
@@ -14,17 +14,17 @@
 // in another zone. A runner leaves as the cut ends and does not report that it drains. No
 // requests are sent during the cut.
 func zoneCut(d *deployment, trouble bool) bool {
-	leaves, stays := startRunner(d.rec, "i-desk-leaves", "desk", ""), startRunner(d.rec, "i-desk-stays", "desk", "")
-	leaves.work, stays.work = 400*time.Millisecond, 400*time.Millisecond
-	leaves.zone, stays.zone = "worcester", "worcester"
-	d.runners = append(d.runners, leaves, stays)
+	leaves := startDesk(d)
+	for _, r := range d.runners {
+		r.work, r.zone = 400*time.Millisecond, "worcester"
+	}
 	p := startProxy(d.storeAddr)
 	d.storeAddr = p.address()
 	hosts := []*host{d.addHost(1, "providence", 0), d.addHost(2, "providence", 0)}
 	d.run()
 	time.Sleep(4 * time.Second)
 	for _, h := range hosts {
-		for range 4 {
+		for range 8 {
 			id, status, body, err := send(h, "/order/1", false)
 			d.rec.line("caller at %s: order %s: %d %q %v", h.name, id, status, body, err)
 		}
@@ -54,7 +54,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, h := range hosts {
-		for range 6 {
+		for range lateOrders {
 			wg.Go(func() {
 				id, status, body, err := send(h, "/order/2", false)
 				mu.Lock()
