upstream, engineclient: reset connections whose request was given up

Cause: Client.Do closed a connection in order when the answer did not arrive within HeadTimeout. The engine client of the other path did the same on a time-out and on a cancelled request.

Change: both reset the connection. An answer that was read in part is still closed as before on the relay path, because its request has reached the endpoint.

Measured: TestSilentPeerIsReset and TestAbandonedStreamIsReset saw an orderly end (EOF) before the change and see ECONNRESET now; both packages pass with -race.

--- a/pkg/engineclient/answers_test.go
+++ b/pkg/engineclient/answers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -224,3 +226,31 @@
 		t.Errorf("%d connections for 4 requests, want 2", dials)
 	}
 }
+
+// TestAbandonedStreamIsReset guards against a request that reaches an engine after the
+// end of a partition although it was given up, because it timed out or was cancelled.
+func TestAbandonedStreamIsReset(t *testing.T) {
+	for name, timeout := range map[string]time.Duration{"timed out": 50 * time.Millisecond, "cancelled": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			address := startEngine(t, func(c net.Conn, _ int, _ string) bool {
+				_, err := c.Read(make([]byte, 1))
+				ended <- err
+				return false
+			})
+			c := New(Options{ProgressTimeout: timeout})
+			t.Cleanup(c.Close)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if timeout == time.Minute {
+				time.AfterFunc(50*time.Millisecond, cancel)
+			}
+			if _, err := c.Generate(ctx, address, enginewire.GenerateRequest{RequestID: "r"}, nil); err == nil {
+				t.Fatal("a request without an answer returned no error")
+			}
+			if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the connection ended with %v, want a reset", err)
+			}
+		})
+	}
+}
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -155,7 +155,7 @@
 			pc.raw.onSilence = onSilence
 			return stream, nil
 		}
-		_ = pc.conn.Close()
+		pc.abort()
 		var broken *BrokenError
 		if errors.As(err, &broken) && pc.reused && ctx.Err() == nil {
 			// The engine most likely closed the idle connection, or wrote an earlier
@@ -170,7 +170,7 @@
 
 func (c *Client) open(ctx context.Context, pc *pooledConn, address, requestID string, body []byte) (*Stream, error) {
 	s := &Stream{client: c, address: address, requestID: requestID, pooled: pc}
-	s.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = pc.conn.Close() })
+	s.stopCloseOnCancel = context.AfterFunc(ctx, pc.abort)
 
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -283,8 +283,9 @@
 	}
 }
 
-// Cancel closes the connection, which tells the engine to stop the request.
-func (s *Stream) Cancel() { _ = s.pooled.conn.Close() }
+// Cancel resets the connection, which tells the engine to stop the request and drops
+// what has not reached it.
+func (s *Stream) Cancel() { s.pooled.abort() }
 
 // Close releases the stream and cancels it if the last event was not read.
 func (s *Stream) Close() { s.release(false) }
@@ -295,9 +296,12 @@
 	}
 	s.released = true
 	notCancelled := s.stopCloseOnCancel == nil || s.stopCloseOnCancel()
-	if reusable && notCancelled && !s.resp.Header.ConnectionClose() {
+	switch {
+	case !reusable:
+		s.pooled.abort()
+	case notCancelled && !s.resp.Header.ConnectionClose():
 		s.client.pool.put(s.address, s.pooled)
-	} else {
+	default:
 		_ = s.pooled.conn.Close()
 	}
 	// The response is not returned to its pool: a reader that Cancel
--- a/pkg/engineclient/conn.go
+++ b/pkg/engineclient/conn.go
@@ -65,6 +65,16 @@
 	idleSince time.Time
 }
 
+// abort resets the connection. Bytes that wait in the send buffer, such as during a
+// network partition, are dropped instead of sent once the engine can be reached again.
+func (pc *pooledConn) abort() {
+	if tcp, ok := pc.raw.Conn.(*net.TCPConn); ok {
+		// If it fails, Close still closes the connection in order.
+		_ = tcp.SetLinger(0)
+	}
+	_ = pc.raw.Close()
+}
+
 // stale reports whether the engine has closed the connection or sent bytes that belong
 // to no request.
 func (pc *pooledConn) stale() bool {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -107,9 +107,9 @@
 }
 
 // Do sends a request and returns the answer once its head has been read. When ctx
-// ends before the answer is closed, the connection is reset, which cancels the
-// work at the peer and drops what has not reached it. Errors name the step and the
-// peer.
+// ends before the answer is closed, or no answer arrives in time, the connection is
+// reset, which cancels the work at the peer and drops what has not reached it. Errors
+// name the step and the peer.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Answer, error) {
 	cn, err := c.pool.get(ctx, address, req.NewConn)
 	if err != nil {
@@ -123,7 +123,7 @@
 	answer, err := c.exchange(cn, req)
 	if err != nil {
 		stop()
-		_ = cn.Close()
+		cn.abort()
 		if cause := context.Cause(ctx); cause != nil {
 			err = errors.Wrap(cause, err.Error())
 		}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -335,3 +336,22 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// TestSilentPeerIsReset guards against a request that a partition has held up and that
+// its peer gets after the partition, although its sender has given it up: a connection
+// that is closed without a reset still delivers what it has sent.
+func TestSilentPeerIsReset(t *testing.T) {
+	ended := make(chan error, 1)
+	address := startPeer(t, func(_ net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			_, err := r.ReadByte()
+			ended <- err
+		}
+	})
+	if _, err := newClient(t).Do(t.Context(), address, &Request{Method: "GET", Target: "/", HeadTimeout: 50 * time.Millisecond}); !errors.Is(err, ErrAnswerTimeout) {
+		t.Fatalf("error %v", err)
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
