keyedlog, relayhost: publish announcements whatever the host knows of the endpoint

Cause: a leader published only the records that changed its own registry. One that had marked an endpoint as leaving because of its answer found the announcement `draining` unchanged and left it out of the page.

Change: Options.Changes decides on publishing, from the records of the topic alone. fleet.Announcements keeps the last announcement of each endpoint for it. Apply has no result any more. Announcements that repeat the last one are still left out.

Tests: those of keyedlog pass the same condition as Changes instead of as the result of Apply; what they check is unchanged.

--- /dev/null
+++ b/pkg/fleet/announcements.go
@@ -0,0 +1,37 @@
+package fleet
+
+import "slices"
+
+// Announcements holds the last announcement of each endpoint. Unlike a Registry it
+// depends on the announcements alone, and not on what else this host knows of the
+// endpoints, so that it tells which announcements are news to any other host. It is not
+// safe for concurrent use.
+type Announcements struct{ last map[string]Member }
+
+// NewAnnouncements returns announcements of no endpoint.
+func NewAnnouncements() *Announcements { return &Announcements{last: map[string]Member{}} }
+
+// Announce records an announcement and reports whether it differs from the endpoint's
+// last one in more than its sequence. An announcement that is older than the last is
+// ignored, as by Registry.Announce.
+func (a *Announcements) Announce(m Member) bool {
+	old, known := a.last[m.ID]
+	if known && m.olderThan(old) {
+		return false
+	}
+	a.last[m.ID] = m
+	return !known || old.StartedMillis != m.StartedMillis || old.differs(m)
+}
+
+// Lapse records that the announcement of an endpoint has lapsed.
+func (a *Announcements) Lapse(id string) { delete(a.last, id) }
+
+// Reset forgets all announcements.
+func (a *Announcements) Reset() { clear(a.last) }
+
+// differs reports whether two announcements of one start of an endpoint differ in what
+// decides on its requests.
+func (m Member) differs(o Member) bool {
+	return m.Role != o.Role || m.Address != o.Address || m.State != o.State || !slices.Equal(m.Models, o.Models) ||
+		m.Slots != o.Slots || (m.WarmupRemaining > 0) != (o.WarmupRemaining > 0)
+}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -151,8 +151,7 @@
 		change = Restarted
 	case old.State == endpoint.StateLive && m.State != endpoint.StateLive:
 		change = Leaving
-	case old.Role != m.Role || old.Address != m.Address || old.State != m.State || !slices.Equal(old.Models, m.Models) ||
-		old.Slots != m.Slots || (old.WarmupRemaining > 0) != (m.WarmupRemaining > 0):
+	case old.differs(m):
 		change = Updated
 	case lapsed:
 		change = Confirmed
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -79,9 +79,14 @@
 	// bounds their rate. Nil sets no bound.
 	MinInterval func() time.Duration
 	// Apply receives changes. Of the changes to one key that arrive together it
-	// receives only the newest. It reports whether the record changes the state;
-	// leaders publish only those that do.
-	Apply func(Record) bool
+	// receives only the newest.
+	Apply func(Record)
+	// Changes reports whether a record differs from the earlier ones of its key in
+	// what they state; leaders publish only those that do. It must depend on the
+	// records of the topic alone: what this host knows from another source, another
+	// host may not know. It is called before Apply. If it is nil, leaders publish all
+	// records.
+	Changes func(Record) bool
 	// Applied, if set, is called once after the changes that arrived together.
 	Applied func()
 	// Reset receives the newest records of all keys, which replace the state.
@@ -246,13 +251,14 @@
 	return nil
 }
 
-// apply applies records and returns those that change the state.
+// apply applies records and returns those that other hosts need.
 func (f *Follower) apply(records []Record) []Record {
 	var changes []Record
 	for _, r := range records {
-		if f.opts.Apply(r) {
+		if f.opts.Changes == nil || f.opts.Changes(r) {
 			changes = append(changes, r)
 		}
+		f.opts.Apply(r)
 	}
 	if len(records) > 0 && f.opts.Applied != nil {
 		f.opts.Applied()
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -121,14 +121,20 @@
 	values map[string]string
 }
 
-func (s *state) apply(r Record) bool {
+func (s *state) apply(r Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := s.values[r.Key]
 	s.values[r.Key] = string(r.Value)
 	if r.Dropped {
 		delete(s.values, r.Key)
 	}
+}
+
+// changes reports whether a record that is not applied yet differs from the state.
+func (s *state) changes(r Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.values[r.Key]
 	return r.Dropped || !known || old != string(r.Value)
 }
 
@@ -150,7 +156,7 @@
 func follow(t *testing.T, l *fakeLog, wait time.Duration) (*Follower, *state) {
 	t.Helper()
 	s := &state{values: map[string]string{}}
-	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return wait }, Apply: s.apply, Reset: s.reset, Log: logging.Discard()})
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return wait }, Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard()})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -291,7 +297,7 @@
 // costs as much as there are keys, such as when hundreds of endpoints join at once.
 func TestAppliedOncePerPage(t *testing.T) {
 	records, calls := 0, 0
-	f := NewFollower(Options{Apply: func(Record) bool { records++; return true }, Applied: func() { calls++ }})
+	f := NewFollower(Options{Apply: func(Record) { records++ }, Applied: func() { calls++ }})
 	page := Page{Next: 100, End: 100}
 	for i := range 100 {
 		page.Records = append(page.Records, Record{Key: strconv.Itoa(i), Offset: int64(i)})
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -36,7 +36,7 @@
 	for i := range hosts {
 		s := &state{values: map[string]string{}}
 		f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 300 * time.Millisecond },
-			MinInterval: func() time.Duration { return 10 * time.Millisecond }, Apply: s.apply, Reset: s.reset, Log: logging.Discard(),
+			MinInterval: func() time.Duration { return 10 * time.Millisecond }, Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard(),
 			Sharing: &Sharing{
 				MaxConfirmationAge: testMaxConfirmationAge,
 				Leads:              func() bool { return g.leads(i, leaders) },
@@ -209,7 +209,7 @@
 // against records that are applied twice.
 func TestOffersAreApplied(t *testing.T) {
 	var applied []string
-	f := NewFollower(Options{Apply: func(r Record) bool { applied = append(applied, string(r.Value)); return true }})
+	f := NewFollower(Options{Apply: func(r Record) { applied = append(applied, string(r.Value)) }})
 	f.next.Store(5)
 	record := func(offset int64, value string) Record {
 		return Record{Key: value, Value: []byte(value), Offset: offset}
@@ -277,7 +277,7 @@
 	published, next := 0, int64(0)
 	s := &state{values: map[string]string{}}
 	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 100 * time.Millisecond },
-		Apply: s.apply, Reset: s.reset, Log: logging.Discard(),
+		Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard(),
 		Sharing: &Sharing{MaxConfirmationAge: testMaxConfirmationAge, Leads: func() bool { return true },
 			Publish: func(_ int64, page Page) {
 				mu.Lock()
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -123,7 +123,7 @@
 		// datagram. The hosts read it themselves once a leader reports a new
 		// one.
 		Sharing: &keyedlog.Sharing{Leads: h.leads, MaxConfirmationAge: maxConfirmationAge},
-		Apply:   func(r keyedlog.Record) bool { h.applyConfiguration(r); return true },
+		Apply:   h.applyConfiguration,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
 				h.applyConfiguration(r)
@@ -174,7 +174,7 @@
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.KeyedLog, Topic: h.adapter.EndpointsTopic, PollWait: h.readWait,
 		MinInterval: func() time.Duration { return endpointsReadInterval }, Sharing: h.sharing(h.adapter.EndpointsTopic, maxConfirmationAge),
-		Apply: h.applyEndpoint,
+		Apply: h.applyEndpoint, Changes: h.changesAnnounced,
 		// Hundreds of endpoints may come in one page, and each refresh costs as much
 		// as there are endpoints.
 		Applied:  h.refreshModels,
@@ -187,8 +187,10 @@
 // resetEndpoints replaces the registered endpoints with the announced ones.
 func (h *Host) resetEndpoints(records []keyedlog.Record) {
 	listed := map[string]bool{}
+	h.announced.Reset()
 	for _, r := range records {
 		listed[r.Key] = true
+		h.changesAnnounced(r)
 		h.applyEndpoint(r)
 	}
 	for _, id := range h.fleet.Reset(listed, time.Now()) {
@@ -207,9 +209,18 @@
 	}
 }
 
-// applyEndpoint applies an announcement and reports whether it changes what is known
-// of the endpoint.
-func (h *Host) applyEndpoint(r keyedlog.Record) bool {
+// changesAnnounced reports whether a record changes what its endpoint has announced.
+func (h *Host) changesAnnounced(r keyedlog.Record) bool {
+	if r.Dropped {
+		h.announced.Lapse(r.Key)
+		return true
+	}
+	member, err := h.adapter.DecodeEndpoint(r.Key, r.Value)
+	return err == nil && h.announced.Announce(member)
+}
+
+// applyEndpoint applies an announcement or its lapse to the registry.
+func (h *Host) applyEndpoint(r keyedlog.Record) {
 	if r.Dropped {
 		change := h.fleet.Remove(r.Key, time.Now())
 		if change == fleet.Removed {
@@ -217,23 +228,22 @@
 		} else if change != fleet.Unchanged {
 			h.log.WithField("endpoint", r.Key).WithField("change", string(change)).Info("endpoint_changed")
 		}
-		return true
+		return
 	}
 	member, err := h.adapter.DecodeEndpoint(r.Key, r.Value)
 	if err != nil {
 		h.log.WithField("offset", r.Offset).WithError(err).Warn("announcement_not_usable")
-		return false
+		return
 	}
 	change := h.fleet.Announce(member)
 	if change == fleet.Unchanged {
-		return false
+		return
 	}
 	if change == fleet.Restarted {
 		h.forgetEndpoint(member.ID, member.Address)
 	}
 	h.log.WithFields(log.Fields{"endpoint": member.ID, "service": member.Service, "change": string(change),
 		"state": string(member.State), "role": string(member.Role), "offset": r.Offset}).Info("endpoint_changed")
-	return true
 }
 
 // endpointGone logs that an endpoint has left and drops its outlier state.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -78,12 +78,14 @@
 	// startedAt is when New was called.
 	startedAt time.Time
 
-	routes   routes.Holder
-	fleet    *fleet.Registry
-	models   *placement.Models
-	outliers *outlier.Tracker
-	guard    *quarantine.Guard
-	stored   storedEvidence
+	routes routes.Holder
+	fleet  *fleet.Registry
+	// announced is used only by the follower of the announcements.
+	announced *fleet.Announcements
+	models    *placement.Models
+	outliers  *outlier.Tracker
+	guard     *quarantine.Guard
+	stored    storedEvidence
 	// evidenceWake starts the next round of runEvidence.
 	evidenceWake chan bool
 	client       *upstream.Client
@@ -111,7 +113,7 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
+	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), models: placement.NewModels(),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -33,7 +33,7 @@
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.KeyedLog, Topic: h.adapter.HostsTopic, Sharing: h.sharing(h.adapter.HostsTopic, peersMaxConfirmationAge),
 		PollWait: func() time.Duration { return peersReadWait - rand.N(peersReadWait/4) }, MinInterval: func() time.Duration { return hostsReadInterval },
-		Apply: func(r keyedlog.Record) bool { h.applyHost(r); return true },
+		Apply: h.applyHost,
 		Reset: func(records []keyedlog.Record) {
 			for _, r := range records {
 				h.applyHost(r)
