keyedlog: publish the newest record of a key if any record of the page is a change

Cause: a leader that read the lapse of an announcement and its renewal together compared only the renewal with the last announcement, found no change and published neither. Hosts that had applied the lapse from another leader's page went on after the renewal and left the endpoint unused until it next changed, for up to 11 s.

Change: Options.Changes sees each record of the page; the newest record of a key is published if any of them is a change.

Measured: TestRenewalAfterLapseIsForwarded failed before the change for a lapse with a renewal and for two changes that cancel out, and passes.

--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,8 +85,10 @@
 	// Changes reports whether a record differs from the earlier ones of its key in
 	// what they state; leaders publish only those that do. It must depend on the
 	// records of the topic alone: what this host knows from another source, another
-	// host may not know. It is called before Apply. If it is nil, leaders publish all
-	// records.
+	// host may not know. It is called for each record, in offset order, before Apply.
+	// Of the records of a key that arrive together, the newest is published if any of
+	// them is a change, because other hosts may know only the first ones. If it is nil,
+	// leaders publish the newest record of each key.
 	Changes func(Record) bool
 	// Applied, if set, is called once after the changes that arrived together.
 	Applied func()
@@ -240,7 +243,7 @@
 		return err
 	}
 	published := page
-	published.Records = f.apply(newestPerKey(page.Records))
+	published.Records = f.apply(page.Records)
 	f.next.Store(page.Next)
 	// After a partial read the state is reloaded: the remaining records replace
 	// values of the same keys.
@@ -251,19 +254,22 @@
 	return nil
 }
 
-// apply applies records and returns those that other hosts need.
+// apply applies the newest record of each key and returns those that other hosts need.
 func (f *Follower) apply(records []Record) []Record {
-	var changes []Record
+	changed := map[string]bool{}
 	for _, r := range records {
 		if f.opts.Changes == nil || f.opts.Changes(r) {
-			changes = append(changes, r)
+			changed[r.Key] = true
 		}
+	}
+	newest := newestPerKey(records)
+	for _, r := range newest {
 		f.opts.Apply(r)
 	}
 	if len(records) > 0 && f.opts.Applied != nil {
 		f.opts.Applied()
 	}
-	return changes
+	return slices.DeleteFunc(newest, func(r Record) bool { return !changed[r.Key] })
 }
 
 // newestPerKey returns the last record of each key, in offset order.
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -167,7 +167,7 @@
 	if o.from > next || o.page.Next <= next {
 		return
 	}
-	f.apply(slices.DeleteFunc(newestPerKey(o.page.Records), func(r Record) bool { return r.Offset < next }))
+	f.apply(slices.DeleteFunc(slices.Clone(o.page.Records), func(r Record) bool { return r.Offset < next }))
 	f.next.Store(o.page.Next)
 }
 
--- a/pkg/relayhost/follow_test.go
+++ b/pkg/relayhost/follow_test.go
@@ -127,3 +127,17 @@
 	store.pages <- []keyedlog.Record{announced(string(endpoint.StateLeaving) + " 3")}
 	wantReceived(t, received, string(endpoint.StateLeaving)+" 3")
 }
+
+// TestRenewalAfterLapseIsForwarded guards against a live endpoint that hosts leave
+// unused for seconds: a leader read the lapse of its announcement and the renewal
+// together and published neither, and another one had published the lapse.
+func TestRenewalAfterLapseIsForwarded(t *testing.T) {
+	_, store, received := startLeader(t)
+	live := string(endpoint.StateLive)
+	store.pages <- []keyedlog.Record{announced(live + " 1")}
+	wantReceived(t, received, live+" 1")
+	store.pages <- []keyedlog.Record{announced(""), announced(live + " 2")}
+	wantReceived(t, received, live+" 2")
+	store.pages <- []keyedlog.Record{announced(string(endpoint.StateLeaving) + " 3"), announced(live + " 4")}
+	wantReceived(t, received, live+" 4")
+}
