keyedlog: publish records that a reload has already shown

Cause: a reload of all keys may return records behind the offset from which the reads go on. A leader read them again, found that they change nothing and left them out of its pages, which cover their offsets.

Change: records up to the last one of the reload are published whether or not they are a change.

Measured: TestRecordOfReloadIsPublished failed before the change and passes (3 of 3).

--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -111,6 +111,10 @@
 	next    atomic.Int64
 	synced  bool
 	failing bool
+	// reloadedTo is the offset after the last record of the last reload, which may
+	// exceed the offset from which the reads went on. The records before it are
+	// published even if they change nothing here.
+	reloadedTo int64
 	// offers holds pages that other hosts have read. peerAhead wakes the
 	// follower when another host reports an offset beyond next.
 	offers    chan offer
@@ -258,7 +262,7 @@
 func (f *Follower) apply(records []Record) []Record {
 	changed := map[string]bool{}
 	for _, r := range records {
-		if f.opts.Changes == nil || f.opts.Changes(r) {
+		if f.opts.Changes == nil || f.opts.Changes(r) || r.Offset < f.reloadedTo {
 			changed[r.Key] = true
 		}
 	}
@@ -317,6 +321,10 @@
 	if err != nil {
 		return err
 	}
+	f.reloadedTo = 0
+	for _, r := range page.Records {
+		f.reloadedTo = max(f.reloadedTo, r.Offset+1)
+	}
 	f.opts.Reset(page.Records)
 	f.next.Store(page.Next)
 	f.synced = true
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -315,3 +315,43 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// movingLog is a log in which a record is written while the newest records are read.
+type movingLog struct{ *fakeLog }
+
+func (l movingLog) Newest(ctx context.Context, topic string) (Page, error) {
+	l.put("a", "late")
+	page, err := l.fakeLog.Newest(ctx, topic)
+	page.Next--
+	return page, err
+}
+
+// TestRecordOfReloadIsPublished guards against a record that no other host gets because
+// its leader knows it from a reload of all keys: the reload may hold records that come
+// after the offset from which the leader goes on.
+func TestRecordOfReloadIsPublished(t *testing.T) {
+	l := movingLog{newFakeLog()}
+	l.put("a", "early")
+	published := make(chan Record, 10)
+	s := &state{values: map[string]string{}}
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 100 * time.Millisecond },
+		Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard(),
+		Sharing: &Sharing{MaxConfirmationAge: testMaxConfirmationAge, Leads: func() bool { return true },
+			Publish: func(_ int64, page Page) {
+				for _, r := range page.Records {
+					published <- r
+				}
+			}}})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	select {
+	case r := <-published:
+		if string(r.Value) != "late" {
+			t.Errorf("published %q", r.Value)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the record that the reload contained is not published")
+	}
+}
