fleet: assume an outage of the store only if it is confirmed from outside

Cause: a host that heard of no answer for more than 2 s took that for an outage of the store. The records of an answer were also applied before the answer itself was noted.

Change: an outage needs a statement: status 503 of the store, or a report of a host in another failure domain that no host it knows of was answered either. Hosts report the last span of answers that they know of and confirmed outages beside their progress; a host that was answered within the gap refutes an outage.

Tests: TestLapsesInAnOutage and TestAnnouncementAfterLapseIsAChange relied on silence being an outage, which is the fault; in both the store now states it.

--- a/pkg/fleet/doc.go
+++ b/pkg/fleet/doc.go
@@ -15,4 +15,10 @@
 // during an outage, or within OutageGrace after it, is therefore kept until
 // OutageGrace after the store's return. It must have announced itself again by
 // then.
+//
+// A host that hears of no answer may as well be cut off itself. It assumes an outage
+// only if the store has said so (status 503) or hosts of other failure domains report
+// that they get no answers either, and no longer once a host reports that it was
+// answered meanwhile. Lapses that it reads with its first answer are held back for
+// confirmationTime, within which the other hosts report.
 package fleet
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -12,16 +12,6 @@
 	"github.com/clementineshed/clementineshed/pkg/retryafter"
 )
 
-// OutageGrace is the time after the store's return within which an endpoint
-// must announce itself again. The platform specifies about two seconds; the
-// rest covers one heartbeat.
-const OutageGrace = 3200 * time.Millisecond
-
-// outageThreshold is the time without an answer from the store to any host
-// after which the store counts as unavailable. An announcement lapses after
-// three missed heartbeats, which are more than a second apart.
-const outageThreshold = 2 * time.Second
-
 // maxLeaving bounds the endpoints that are remembered as leaving. Those that left
 // longest ago, whose announcements have long lapsed, are forgotten first.
 const maxLeaving = 4096
@@ -86,10 +76,8 @@
 	leaving *lru.LRU[string, int64]
 	// lapsedAt holds when the announcements of retained members lapsed.
 	lapsedAt map[string]time.Time
-	// storeAnsweredAt is when the store last answered any host.
-	// storeRecoveredAt is the first answer after the last outage.
-	storeAnsweredAt, storeRecoveredAt time.Time
-	version                           int64
+	store    storeWatch
+	version  int64
 	// membersByService caches the results of Members. Each change of a member
 	// clears it; an announcement that only repeats the last one does not, so that
 	// the cached members may have an earlier Sequence.
@@ -110,24 +98,41 @@
 }
 
 // StoreAnswered records that the store answered this or another host at a time.
-// If the store answers others but not this host, this host is cut off and there
-// is no outage: announcements that lapse meanwhile mean that their endpoints
-// are gone.
 func (r *Registry) StoreAnswered(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.storeAnsweredAt.IsZero() && at.Sub(r.storeAnsweredAt) > outageThreshold {
-		r.storeRecoveredAt = at
-	}
-	if at.After(r.storeAnsweredAt) {
-		r.storeAnsweredAt = at
-	}
+	r.store.answered(at, at)
+}
+
+// StoreUnavailable records that the store has told this host that it is unavailable.
+func (r *Registry) StoreUnavailable(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store.state(now)
+}
+
+// StoreReported applies what another host has reported of the store. otherDomain says
+// that the host is in another failure domain than this one.
+func (r *Registry) StoreReported(report StoreReport, otherDomain bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store.report(report, otherDomain, now)
 }
 
-// recentOutage reports whether the store is unavailable or returned less than
-// OutageGrace ago. It must be called with mu held.
-func (r *Registry) recentOutage(now time.Time) bool {
-	return !r.storeAnsweredAt.IsZero() && now.Sub(r.storeAnsweredAt) > outageThreshold || !r.storeRecoveredAt.IsZero() && now.Sub(r.storeRecoveredAt) < OutageGrace
+// StoreStatus returns what this host knows of the store. Until is zero if no host was
+// answered yet.
+func (r *Registry) StoreStatus(now time.Time) StoreReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.status(now)
+}
+
+// RecentOutage reports whether endpoints whose announcements lapse are kept because the
+// store is or was unavailable.
+func (r *Registry) RecentOutage(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.recentOutage(now)
 }
 
 // Announce applies an announcement and returns what it changed.
@@ -207,7 +212,7 @@
 	if _, known := r.members[id]; !known {
 		return Unchanged
 	}
-	if r.recentOutage(now) {
+	if r.store.recentOutage(now) {
 		r.lapsedAt[id] = now
 		return Retained
 	}
@@ -234,7 +239,7 @@
 		if listed[id] {
 			continue
 		}
-		if r.recentOutage(now) {
+		if r.store.recentOutage(now) {
 			r.lapsedAt[id] = now
 			continue
 		}
@@ -249,7 +254,7 @@
 func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.recentOutage(now) {
+	if r.store.recentOutage(now) {
 		return nil
 	}
 	var removed []string
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -45,6 +45,7 @@
 	r.Announce(member("back", 1, 1, endpoint.StateLive))
 	r.Announce(member("dead", 1, 1, endpoint.StateLive))
 	r.StoreAnswered(start.Add(-outageThreshold))
+	r.StoreUnavailable(start.Add(time.Second))
 	for _, id := range []string{"back", "dead"} {
 		if got := r.Remove(id, start.Add(time.Second)); got != Retained {
 			t.Errorf("%s: %q", id, got)
@@ -126,6 +127,7 @@
 	now := time.Now()
 	r.Announce(member("a", 1, 1, endpoint.StateLive))
 	r.StoreAnswered(now)
+	r.StoreUnavailable(now.Add(outageThreshold + time.Second))
 	if change := r.Remove("a", now.Add(outageThreshold+time.Second)); change != Retained {
 		t.Fatalf("change %q", change)
 	}
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -57,6 +57,10 @@
 	Next, End int64
 }
 
+// ErrUnavailable reports that the store was reached and stated that it is unavailable.
+// Other failures may as well be those of this host's network.
+var ErrUnavailable = errors.New("the store states that it is unavailable")
+
 // Client accesses the store. Implementations are safe for concurrent use.
 type Client interface {
 	// Newest returns the newest record of each key. Next is the end of the
@@ -94,8 +98,10 @@
 	Applied func()
 	// Reset receives the newest records of all keys, which replace the state.
 	Reset func([]Record)
-	// OnAnswer, if set, is called after each read that the store answered.
-	OnAnswer func()
+	// OnAnswer, if set, is called for each read that the store answered, before its
+	// records are applied. OnUnavailable, if set, is called for each read that failed
+	// with ErrUnavailable.
+	OnAnswer, OnUnavailable func()
 	// Sharing is nil if every host reads the topic itself.
 	Sharing *Sharing
 	Log     log.Interface
@@ -202,7 +208,6 @@
 }
 
 // logOutcome logs the first failure of a series and the success that ends it.
-// It reports each success to Options.OnAnswer.
 func (f *Follower) logOutcome(err error) {
 	fields := f.opts.Log.WithField("topic", f.opts.Topic).WithField("next", f.next.Load())
 	if err == nil {
@@ -210,9 +215,6 @@
 			fields.Info("store_regained")
 		}
 		f.failing = false
-		if f.opts.OnAnswer != nil {
-			f.opts.OnAnswer()
-		}
 		return
 	}
 	if !f.failing {
@@ -301,6 +303,15 @@
 // finishRead marks the read in progress as ended. It reports whether the read
 // failed because InterruptIfBehind cancelled it.
 func (f *Follower) finishRead(err error) bool {
+	var truncated *logservice.TruncatedError
+	switch {
+	case err == nil || errors.As(err, &truncated):
+		if f.opts.OnAnswer != nil {
+			f.opts.OnAnswer()
+		}
+	case errors.Is(err, ErrUnavailable) && f.opts.OnUnavailable != nil:
+		f.opts.OnUnavailable()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = nil
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -307,3 +307,43 @@
 		t.Errorf("%d records applied with %d calls, want 100 with 1", records, calls)
 	}
 }
+
+// TestAnswerIsKnownBeforeItsRecords guards against a lapse that is taken for the effect of
+// an outage because the answer with it was recorded after it.
+func TestAnswerIsKnownBeforeItsRecords(t *testing.T) {
+	l := newFakeLog()
+	l.put("a", "1")
+	var mu sync.Mutex
+	var events []string
+	record := func(event string) {
+		mu.Lock()
+		defer mu.Unlock()
+		events = append(events, event)
+	}
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return time.Minute }, Log: logging.Discard(),
+		OnAnswer: func() { record("answer") }, Apply: func(Record) { record("record") }, Reset: func([]Record) { record("reset") }})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	eventually(t, "the read", func() bool { return l.readCount() == 1 })
+	l.put("a", "2")
+	eventually(t, "the next read", func() bool { return l.readCount() == 2 })
+	mu.Lock()
+	defer mu.Unlock()
+	if want := []string{"answer", "reset", "answer", "record"}; !slices.Equal(events, want) {
+		t.Errorf("events %v, want %v", events, want)
+	}
+}
+
+// TestUnavailableStoreIsReported guards against hosts that take an outage for a cut of
+// their own although the store has told them.
+func TestUnavailableStoreIsReported(t *testing.T) {
+	reported := 0
+	f := NewFollower(Options{OnUnavailable: func() { reported++ }})
+	f.finishRead(errors.Wrap(ErrUnavailable, "read"))
+	f.finishRead(context.DeadlineExceeded)
+	if reported != 1 {
+		t.Errorf("%d reports of two failed reads, want that of the store's statement", reported)
+	}
+}
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -92,11 +92,16 @@
 			out[topic] = loadshare.Progress{Next: next, AgeMillis: now.Sub(at).Milliseconds()}
 		}
 	}
+	addStoreReport(out, h.settings.Domain, h.fleet.StoreStatus(now), now)
 	return out
 }
 
 func (h *Host) applyPeerProgress(progress map[string]loadshare.Progress) {
 	now := time.Now()
+	if domain, report, ok := storeReportOf(progress, now); ok {
+		// First, because it says whether there was a gap between the answers below.
+		h.fleet.StoreReported(report, domain != h.settings.Domain, now)
+	}
 	for topic, p := range progress {
 		f := h.followers[topic]
 		if f == nil || p.AgeMillis < 0 {
@@ -179,8 +184,8 @@
 		// as there are endpoints.
 		Applied:  h.refreshModels,
 		Reset:    h.resetEndpoints,
-		OnAnswer: func() { h.fleet.StoreAnswered(time.Now()) },
-		Log:      h.log,
+		OnAnswer: func() { h.fleet.StoreAnswered(time.Now()) }, OnUnavailable: func() { h.fleet.StoreUnavailable(time.Now()) },
+		Log: h.log,
 	})
 }
 
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -250,7 +250,7 @@
 func (h *Host) runHousekeeping(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
-	stateAt := time.Now()
+	stateAt, outage := time.Now(), false
 	for {
 		select {
 		case <-ctx.Done():
@@ -261,6 +261,7 @@
 				h.logState()
 			}
 			h.client.Sweep()
+			outage = h.logOutage(outage, now)
 			for _, id := range h.fleet.Expire(now) {
 				h.endpointGone(id)
 			}
