retry, relayhost: a host that starts earns its part of the retry budget

Cause: a host that started had its full part of the budget at once, although an earlier process in its place might just have used it. With hosts killed again and again the sum over a window exceeded the limit (188 retries with 184 allowed). A host also took itself for the only one until it had read the addresses of the others, and had the fixed allowance of all.

Change: in its first window a host uses 0.2 instead of 0.75 of its allowance, and the fixed part of it grows with its age. At the first start of the whole system (setting bootstrap) this does not apply. Until a host has had the time to read of the others it has no fixed part, also at the first start.

--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -122,7 +122,7 @@
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
-		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
+		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
@@ -163,6 +163,25 @@
 	return h.exchange.KnownHosts()
 }
 
+// retryHosts returns the number of hosts that share the retry budget, or zero while this
+// host has not had the time to read of them: each of many that start would take itself
+// for the only one.
+func (h *Host) retryHosts() int {
+	if time.Since(h.startedAt) < h.discoveryPeriod() {
+		return 0
+	}
+	return h.knownHosts()
+}
+
+// budgetStart returns from when on this host earns its part of the retry budget, or zero
+// if it has it at once.
+func (h *Host) budgetStart() time.Time {
+	if h.settings.FirstStart {
+		return time.Time{}
+	}
+	return h.startedAt
+}
+
 func (h *Host) reportSend(service string, sent placement.SendReport) {
 	h.exchange.ReportSend(service, sent)
 }
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -7,14 +7,17 @@
 
 // SharedBudget bounds the retries of all hosts to each service. Each host takes
 // its part of the allowance without asking the others: the part that its own
-// requests earn, and an equal part of the fixed allowance. It is safe for
-// concurrent use.
+// requests earn, and an equal part of the fixed allowance. A host that has started
+// within the last window has less, because an earlier process in its place may have used
+// its part. It is safe for concurrent use.
 type SharedBudget struct {
 	limits SharedLimits
 	// hosts returns the number of hosts that may send, including those that this
 	// host cannot reach: hosts that are partitioned from each other must not take
 	// each other's part.
 	hosts func() int
+	// startedAt is when this host started; zero if all hosts start for the first time.
+	startedAt time.Time
 
 	mu       sync.Mutex
 	services map[string]*window // guarded by mu
@@ -34,14 +37,21 @@
 // than those in which the limit is checked.
 const allowanceShare = 0.75
 
+// startShare takes the place of allowanceShare in the first window of a host. An earlier
+// process in its place may have used allowanceShare right before it was killed; together
+// they stay below the allowance, also if the host is killed again and again.
+const startShare = 0.2
+
 // window holds the times of the events in the last SharedLimits.Window, oldest
 // first.
 type window struct{ requests, retries []time.Time }
 
 // NewSharedBudget returns a budget. hosts returns the number of hosts that share
-// it and is called with the budget's lock held.
-func NewSharedBudget(limits SharedLimits, hosts func() int) *SharedBudget {
-	return &SharedBudget{limits: limits, hosts: hosts, services: map[string]*window{}}
+// it, or zero if that is not known yet; it is called with the budget's lock held.
+// startedAt is when this host started; zero if all hosts start for the first time, when
+// no earlier process can have used a part.
+func NewSharedBudget(limits SharedLimits, hosts func() int, startedAt time.Time) *SharedBudget {
+	return &SharedBudget{limits: limits, hosts: hosts, startedAt: startedAt, services: map[string]*window{}}
 }
 
 // service returns the window of a service without the events that are too old. It
@@ -79,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.service(service, now)
-	if !s.allows(w) {
+	if !s.allows(w, now) {
 		return false
 	}
 	w.retries = append(w.retries, now)
@@ -90,7 +100,7 @@
 func (s *SharedBudget) Allows(service string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allows(s.service(service, now))
+	return s.allows(s.service(service, now), now)
 }
 
 // RecordRetry records a send that counts as a retry whether or not the budget
@@ -103,7 +113,15 @@
 }
 
 // allows must be called with mu held.
-func (s *SharedBudget) allows(w *window) bool {
-	allowance := s.limits.Ratio*float64(len(w.requests)) + float64(s.limits.Fixed)/float64(max(s.hosts(), 1))
-	return float64(len(w.retries)+1) <= allowanceShare*allowance
+func (s *SharedBudget) allows(w *window, now time.Time) bool {
+	fixed := 0.0
+	if hosts := s.hosts(); hosts > 0 {
+		fixed = float64(s.limits.Fixed) / float64(hosts)
+	}
+	share := allowanceShare
+	if age := now.Sub(s.startedAt); !s.startedAt.IsZero() && age < s.limits.Window {
+		share = startShare
+		fixed *= max(0, age.Seconds()/s.limits.Window.Seconds())
+	}
+	return float64(len(w.retries)+1) <= share*(s.limits.Ratio*float64(len(w.requests))+fixed)
 }
