--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,10 @@
 	Next, End int64
 }
 
+// ErrUnavailable reports that the store was reached and stated that it is unavailable.
+// Other failures may as well be those of this host's network.
+var ErrUnavailable = errors.New("the store states that it is unavailable")
+
 // Client accesses the store. Implementations are safe for concurrent use.
 type Client interface {
 	// Newest returns the newest record of each key. Next is the end of the
@@ -79,15 +84,24 @@
 	// bounds their rate. Nil sets no bound.
 	MinInterval func() time.Duration
 	// Apply receives changes. Of the changes to one key that arrive together it
-	// receives only the newest. It reports whether the record changes the state;
-	// leaders publish only those that do.
-	Apply func(Record) bool
+	// receives only the newest.
+	Apply func(Record)
+	// Changes reports whether a record differs from the earlier ones of its key in
+	// what they state; leaders publish only those that do. It must depend on the
+	// records of the topic alone: what this host knows from another source, another
+	// host may not know. It is called for each record, in offset order, before Apply.
+	// Of the records of a key that arrive together, the newest is published if any of
+	// them is a change, because other hosts may know only the first ones. If it is nil,
+	// leaders publish the newest record of each key.
+	Changes func(Record) bool
 	// Applied, if set, is called once after the changes that arrived together.
 	Applied func()
 	// Reset receives the newest records of all keys, which replace the state.
 	Reset func([]Record)
-	// OnAnswer, if set, is called after each read that the store answered.
-	OnAnswer func()
+	// OnAnswer, if set, is called for each read that the store answered, before its
+	// records are applied. OnUnavailable, if set, is called for each read that failed
+	// with ErrUnavailable.
+	OnAnswer, OnUnavailable func()
 	// Sharing is nil if every host reads the topic itself.
 	Sharing *Sharing
 	Log     log.Interface
@@ -103,6 +117,10 @@
 	next    atomic.Int64
 	synced  bool
 	failing bool
+	// reloadedTo is the offset after the last record of the last reload, which may
+	// exceed the offset from which the reads went on. The records before it are
+	// published even if they change nothing here.
+	reloadedTo int64
 	// offers holds pages that other hosts have read. peerAhead wakes the
 	// follower when another host reports an offset beyond next.
 	offers    chan offer
@@ -190,7 +208,6 @@
 }
 
 // logOutcome logs the first failure of a series and the success that ends it.
-// It reports each success to Options.OnAnswer.
 func (f *Follower) logOutcome(err error) {
 	fields := f.opts.Log.WithField("topic", f.opts.Topic).WithField("next", f.next.Load())
 	if err == nil {
@@ -198,9 +215,6 @@
 			fields.Info("store_regained")
 		}
 		f.failing = false
-		if f.opts.OnAnswer != nil {
-			f.opts.OnAnswer()
-		}
 		return
 	}
 	if !f.failing {
@@ -235,7 +249,7 @@
 		return err
 	}
 	published := page
-	published.Records = f.apply(newestPerKey(page.Records))
+	published.Records = f.apply(page.Records)
 	f.next.Store(page.Next)
 	// After a partial read the state is reloaded: the remaining records replace
 	// values of the same keys.
@@ -246,18 +260,22 @@
 	return nil
 }
 
-// apply applies records and returns those that change the state.
+// apply applies the newest record of each key and returns those that other hosts need.
 func (f *Follower) apply(records []Record) []Record {
-	var changes []Record
+	changed := map[string]bool{}
 	for _, r := range records {
-		if f.opts.Apply(r) {
-			changes = append(changes, r)
+		if f.opts.Changes == nil || f.opts.Changes(r) || r.Offset < f.reloadedTo {
+			changed[r.Key] = true
 		}
 	}
+	newest := newestPerKey(records)
+	for _, r := range newest {
+		f.opts.Apply(r)
+	}
 	if len(records) > 0 && f.opts.Applied != nil {
 		f.opts.Applied()
 	}
-	return changes
+	return slices.DeleteFunc(newest, func(r Record) bool { return !changed[r.Key] })
 }
 
 // newestPerKey returns the last record of each key, in offset order.
@@ -285,6 +303,15 @@
 // finishRead marks the read in progress as ended. It reports whether the read
 // failed because InterruptIfBehind cancelled it.
 func (f *Follower) finishRead(err error) bool {
+	var truncated *logservice.TruncatedError
+	switch {
+	case err == nil || errors.As(err, &truncated):
+		if f.opts.OnAnswer != nil {
+			f.opts.OnAnswer()
+		}
+	case errors.Is(err, ErrUnavailable) && f.opts.OnUnavailable != nil:
+		f.opts.OnUnavailable()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = nil
@@ -305,6 +332,10 @@
 	if err != nil {
 		return err
 	}
+	f.reloadedTo = 0
+	for _, r := range page.Records {
+		f.reloadedTo = max(f.reloadedTo, r.Offset+1)
+	}
 	f.opts.Reset(page.Records)
 	f.next.Store(page.Next)
 	f.synced = true
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -121,14 +121,20 @@
 	values map[string]string
 }
 
-func (s *state) apply(r Record) bool {
+func (s *state) apply(r Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := s.values[r.Key]
 	s.values[r.Key] = string(r.Value)
 	if r.Dropped {
 		delete(s.values, r.Key)
 	}
+}
+
+// changes reports whether a record that is not applied yet differs from the state.
+func (s *state) changes(r Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.values[r.Key]
 	return r.Dropped || !known || old != string(r.Value)
 }
 
@@ -150,7 +156,7 @@
 func follow(t *testing.T, l *fakeLog, wait time.Duration) (*Follower, *state) {
 	t.Helper()
 	s := &state{values: map[string]string{}}
-	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return wait }, Apply: s.apply, Reset: s.reset, Log: logging.Discard()})
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return wait }, Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard()})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -291,7 +297,7 @@
 // costs as much as there are keys, such as when hundreds of endpoints join at once.
 func TestAppliedOncePerPage(t *testing.T) {
 	records, calls := 0, 0
-	f := NewFollower(Options{Apply: func(Record) bool { records++; return true }, Applied: func() { calls++ }})
+	f := NewFollower(Options{Apply: func(Record) { records++ }, Applied: func() { calls++ }})
 	page := Page{Next: 100, End: 100}
 	for i := range 100 {
 		page.Records = append(page.Records, Record{Key: strconv.Itoa(i), Offset: int64(i)})
@@ -301,3 +307,43 @@
 		t.Errorf("%d records applied with %d calls, want 100 with 1", records, calls)
 	}
 }
+
+// TestAnswerIsKnownBeforeItsRecords guards against a lapse that is taken for the effect of
+// an outage because the answer with it was recorded after it.
+func TestAnswerIsKnownBeforeItsRecords(t *testing.T) {
+	l := newFakeLog()
+	l.put("a", "1")
+	var mu sync.Mutex
+	var events []string
+	record := func(event string) {
+		mu.Lock()
+		defer mu.Unlock()
+		events = append(events, event)
+	}
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return time.Minute }, Log: logging.Discard(),
+		OnAnswer: func() { record("answer") }, Apply: func(Record) { record("record") }, Reset: func([]Record) { record("reset") }})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	eventually(t, "the read", func() bool { return l.readCount() == 1 })
+	l.put("a", "2")
+	eventually(t, "the next read", func() bool { return l.readCount() == 2 })
+	mu.Lock()
+	defer mu.Unlock()
+	if want := []string{"answer", "reset", "answer", "record"}; !slices.Equal(events, want) {
+		t.Errorf("events %v, want %v", events, want)
+	}
+}
+
+// TestUnavailableStoreIsReported guards against hosts that take an outage for a cut of
+// their own although the store has told them.
+func TestUnavailableStoreIsReported(t *testing.T) {
+	reported := 0
+	f := NewFollower(Options{OnUnavailable: func() { reported++ }})
+	f.finishRead(errors.Wrap(ErrUnavailable, "read"))
+	f.finishRead(context.DeadlineExceeded)
+	if reported != 1 {
+		t.Errorf("%d reports of two failed reads, want that of the store's statement", reported)
+	}
+}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -78,12 +78,14 @@
 	// startedAt is when New was called.
 	startedAt time.Time
 
-	routes   routes.Holder
-	fleet    *fleet.Registry
-	models   *placement.Models
-	outliers *outlier.Tracker
-	guard    *quarantine.Guard
-	stored   storedEvidence
+	routes routes.Holder
+	fleet  *fleet.Registry
+	// announced is used only by the follower of the announcements.
+	announced *fleet.Announcements
+	models    *placement.Models
+	outliers  *outlier.Tracker
+	guard     *quarantine.Guard
+	stored    storedEvidence
 	// evidenceWake starts the next round of runEvidence.
 	evidenceWake chan bool
 	client       *upstream.Client
@@ -111,7 +113,7 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
+	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), models: placement.NewModels(),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
@@ -120,7 +122,7 @@
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
-		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
+		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
@@ -161,6 +163,25 @@
 	return h.exchange.KnownHosts()
 }
 
+// retryHosts returns the number of hosts that share the retry budget, or zero while this
+// host has not had the time to read of them: each of many that start would take itself
+// for the only one.
+func (h *Host) retryHosts() int {
+	if time.Since(h.startedAt) < h.discoveryPeriod() {
+		return 0
+	}
+	return h.knownHosts()
+}
+
+// budgetStart returns from when on this host earns its part of the retry budget, or zero
+// if it has it at once.
+func (h *Host) budgetStart() time.Time {
+	if h.settings.FirstStart {
+		return time.Time{}
+	}
+	return h.startedAt
+}
+
 func (h *Host) reportSend(service string, sent placement.SendReport) {
 	h.exchange.ReportSend(service, sent)
 }
@@ -248,7 +269,7 @@
 func (h *Host) runHousekeeping(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
-	stateAt := time.Now()
+	stateAt, outage := time.Now(), false
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,6 +280,7 @@
 				h.logState()
 			}
 			h.client.Sweep()
+			outage = h.logOutage(outage, now)
 			for _, id := range h.fleet.Expire(now) {
 				h.endpointGone(id)
 			}
