Connections: limits below the descriptor limit, and accept after errors

Cause: an Accept that failed for lack of descriptors ended the listener of callers, of readiness checks, of metrics and of operators, and /readyz went on answering 200. Nothing bounded the connections of callers or, in total, the idle ones to endpoints (24 or 64 to each) below the descriptor limit. The relay had no limit for callers that read nothing; the product's limit counted the whole write instead of its progress.

Change: pkg/acceptretry retries Accept after temporary errors on every listener of both programs and of the stub servers, and closes an idle connection when there is no descriptor. pkg/descriptors divides the smaller of RLIMIT_NOFILE and limits.maxFds. callerconn bounds the connections: the longest idle is closed first, then the longest incomplete head, else the new one. upstream and engineclient close their longest idle connection above their share, and retry a dial without descriptors once. A host whose last accept failed is not ready. Writes are reset after 20 s without progress, which counts the bytes that leave the send buffer.

--- a/pkg/callerconn/callerconn.go
+++ b/pkg/callerconn/callerconn.go
@@ -51,6 +51,8 @@
 	// ClosedIdle counts the connections that were closed as idle, ReadInClose the
 	// requests whose first byte was read after Close.
 	ClosedIdle, ReadInClose expvar.Int
+
+	limit limiter
 }
 
 // NewTracker returns a tracker without connections. The server must use Listener and
@@ -132,6 +134,7 @@
 }
 
 func (t *Tracker) remove(c *conn) {
+	t.limit.unlist(c)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.conns, c)
@@ -146,6 +149,10 @@
 // Accept returns io.EOF once the listener of a closed tracker has been drained.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	for err == nil && !l.tracker.makeRoom() {
+		_ = nc.Close()
+		nc, err = l.Listener.Accept()
+	}
 	if err != nil {
 		drained := l.tracker.closing.Load() && isTimeout(err)
 		if drained {
@@ -173,6 +180,8 @@
 	waitingSince time.Time     // guarded by mu
 	waitLimit    time.Duration // guarded by mu
 	kept         bool          // guarded by mu
+
+	limit connLimit
 }
 
 // NetConn returns the wrapped connection, for connstate.Of.
@@ -182,9 +191,12 @@
 func (c *conn) Read(p []byte) (int, error) {
 	lastRead := false
 	for {
+		c.beforeRead()
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.beginRequest()
+			if !c.received(p[:n]) {
+				return 0, net.ErrClosed
+			}
 			return n, err
 		}
 		if !isTimeout(err) {
@@ -240,6 +252,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.waitingSince, c.waitLimit = true, time.Now(), 0
+	c.limit.head = headScanner{}
 	_ = c.SetReadDeadline(c.waitEnd())
 }
 
@@ -256,9 +269,15 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.waiting {
-		return
+	if c.waiting {
+		// The bytes were read with those of the last request and not scanned.
+		c.limit.head.complete = true
+		c.endWait()
 	}
+}
+
+// endWait begins a request that has been waited for. c.mu must be held.
+func (c *conn) endWait() {
 	c.waiting, c.kept = false, true
 	if c.tracker.closing.Load() {
 		c.tracker.ReadInClose.Add(1)
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -86,7 +86,11 @@
 	ProgressTimeout time.Duration
 	DialTimeout     time.Duration
 	IdleTimeout     time.Duration
-	MaxIdle         int
+	// MaxIdle bounds the idle connections per address.
+	MaxIdle int
+	// MaxOpen bounds the open connections: idle ones are closed, the longest idle first,
+	// when there would be more. Zero means no bound.
+	MaxOpen int
 	// TLS enables TLS to engines when set. It is called for each new
 	// connection, so that rotated keys take effect.
 	TLS func() *tls.Config
@@ -104,6 +108,7 @@
 		progressTimeout: cmp.Or(opts.ProgressTimeout, DefaultProgressTimeout),
 		idleTimeout:     cmp.Or(opts.IdleTimeout, DefaultIdleTimeout),
 		maxIdle:         cmp.Or(opts.MaxIdle, DefaultMaxIdle),
+		maxOpen:         opts.MaxOpen,
 		tls:             opts.TLS,
 		idle:            map[string][]*pooledConn{},
 	}}
--- a/pkg/engineclient/conn.go
+++ b/pkg/engineclient/conn.go
@@ -7,11 +7,13 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/connstate"
+	"github.com/clementineshed/clementineshed/pkg/descriptors"
 )
 
 // progressTimeoutConn limits the time that one read or write may take without
@@ -23,6 +25,9 @@
 	// longer to wait; zero fails the read. The readers of the answer and of TLS cannot
 	// go on after an error, so it must not reach them before the engine is given up.
 	onSilence func() time.Duration
+	// open counts the open connections, among them this one until closed is set.
+	open   *atomic.Int64
+	closed atomic.Bool
 }
 
 func (c *progressTimeoutConn) Read(p []byte) (int, error) {
@@ -77,11 +82,17 @@
 	progressTimeout time.Duration
 	idleTimeout     time.Duration
 	maxIdle         int
+	maxOpen         int
 	tls             func() *tls.Config
 
+	// open counts the open connections, in use or idle.
+	open atomic.Int64
+
 	mu sync.Mutex
 	// idle is guarded by mu.
 	idle map[string][]*pooledConn
+	// closedForRoom counts the idle connections that were closed to open others.
+	closedForRoom int64 // guarded by mu
 }
 
 func (p *pool) get(ctx context.Context, address string) (*pooledConn, error) {
@@ -89,11 +100,13 @@
 		return pc, nil
 	}
 	dialer := &net.Dialer{Timeout: p.dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	p.makeRoom()
+	conn, err := descriptors.Retry(p.closeLongestIdle, func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
 	if err != nil {
 		return nil, err
 	}
-	raw := &progressTimeoutConn{Conn: conn, timeout: p.progressTimeout}
+	p.open.Add(1)
+	raw := &progressTimeoutConn{Conn: conn, timeout: p.progressTimeout, open: &p.open}
 	var c net.Conn = raw
 	if p.tls != nil {
 		c = tls.Client(c, p.tls())
@@ -122,7 +135,7 @@
 	pc.raw.onSilence = nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idle == nil || len(p.idle[address]) >= p.maxIdle {
+	if p.idle == nil || len(p.idle[address]) >= p.maxIdle || p.maxOpen > 0 && p.open.Load() > int64(p.maxOpen) {
 		_ = pc.conn.Close()
 		return
 	}
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/configstore"
+	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/dispatch"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/engineclient"
@@ -77,6 +78,8 @@
 	levels     *serviceLevels
 	vars       *expvar.Map
 
+	// shares are the connections that the host may have open.
+	shares    descriptors.Shares
 	callers   net.Listener
 	operators net.Listener
 	stopping  atomic.Bool
@@ -156,7 +159,8 @@
 	}); err != nil {
 		return errors.Wrap(err, "start at-most-once execution")
 	}
-	h.engines = engineclient.New(engineclient.Options{TLS: h.tls.endpointsTLS()})
+	h.shares = descriptors.Divide(descriptors.Limit(0))
+	h.engines = engineclient.New(engineclient.Options{TLS: h.tls.endpointsTLS(), MaxOpen: h.shares.Endpoints})
 	h.dispatcher = dispatch.New(dispatch.Options{
 		Domain: h.settings.Host.Domain, Clock: h.clock, Seed: uint64(seed), Delays: routing.UniformDelay(interDomainDelay),
 		OnOffered: func(work roles.Work, tolerant bool) { h.authority.addOffered(work, tolerant) },
@@ -174,7 +178,7 @@
 		Config: configView{store: h.store}, Dispatcher: h.dispatcher, CrashGuard: h.peers.startCrashGuard(),
 		OnceExecutor: &onceExecutor{executor: h.once}, Recorder: recorder{levels: h.levels, usage: h.usage},
 		Engines: h.engines, Services: gate.NewServiceClient(h.tls.endpointsTLS()),
-		Log: h.log, Clock: h.clock, Limits: gateLimits(h.settings.Limits),
+		Log: h.log, Clock: h.clock, Limits: gateLimits(h.settings.Limits, h.shares),
 	})
 	h.vars = h.newVars()
 	return nil
@@ -185,13 +189,13 @@
 // all records of the period.
 func dedupPeriod(p settings.Platform) time.Duration { return p.LogRetention.Std() / 2 }
 
-func gateLimits(l settings.Limits) gate.Limits {
+func gateLimits(l settings.Limits, shares descriptors.Shares) gate.Limits {
 	limits := gate.DefaultLimits
 	limits.HeaderBytes = int(l.HeaderBytes)
 	limits.BodyBytes = int(l.BodyBytes)
 	limits.RequestReadTimeout = l.ReadProgress.Std()
 	limits.WriteProgressTimeout = l.WriteProgress.Std()
-	limits.Concurrency = l.Connections
+	limits.Concurrency = min(l.Connections, shares.Callers)
 	return limits
 }
 
@@ -221,8 +225,9 @@
 	loop(h.authority.run)
 
 	callers := h.gate.Server()
+	operatorConns := h.newOperatorConns()
 	operators := &fasthttp.Server{
-		Handler: h.operatorHandler(), NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: serverLogger{h.log},
+		Handler: h.operatorHandler(), ConnState: operatorConns.OnStateChange, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: serverLogger{h.log},
 	}
 	failed := make(chan error, 2)
 	loops.Add(2)
@@ -232,7 +237,7 @@
 	}()
 	go func() {
 		defer loops.Done()
-		failed <- steperr.Wrap(operators.Serve(tlsListener(h.operators, h.tls.operatorsTLS())), "serve operators", h.OperatorsAddress())
+		failed <- steperr.Wrap(operators.Serve(operatorConns.Listener(h.operatorListener())), "serve operators", h.OperatorsAddress())
 	}()
 	h.log.WithFields(log.Fields{"step": "start", "callers": h.CallersAddress(), "operators": h.OperatorsAddress(), "domain": h.settings.Host.Domain}).Info("host started")
 
@@ -325,6 +330,9 @@
 	if h.stopping.Load() {
 		reasons = append(reasons, "the host is stopping")
 	}
+	if !h.gate.Accepting() {
+		reasons = append(reasons, "no connection can be accepted")
+	}
 	if !(configView{store: h.store}).Ready() {
 		reasons = append(reasons, "the configuration is not in force yet")
 	}
--- a/pkg/entryhost/vars.go
+++ b/pkg/entryhost/vars.go
@@ -23,6 +23,7 @@
 	vars.Set("refusals", h.gate.Refusals())
 	vars.Set("caller_connections_closed_idle", h.gate.ClosedIdle())
 	vars.Set("requests_read_in_close", h.gate.ReadInClose())
+	vars.Set("connections", expvar.Func(func() any { return h.gate.ConnectionCounts() }))
 	vars.Set("endpoints_by_state", expvar.Func(func() any { return h.endpointStates() }))
 	vars.Set("peers_by_state", expvar.Func(func() any { return h.peerStates() }))
 	vars.Set("leases_held", expvar.Func(func() any { return len(h.heldLeases()) }))
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/acceptretry"
 	"github.com/clementineshed/clementineshed/pkg/callerconn"
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
@@ -249,7 +250,10 @@
 	Options
 	inflight *inflightRequests
 	conns    *callerconn.Tracker
-	stopping atomic.Bool
+	writes   callerconn.WriteProgress
+	// accepting is the listener for callers, nil before Listener is called.
+	accepting atomic.Pointer[acceptretry.Listener]
+	stopping  atomic.Bool
 	// refusals counts refused requests by code.
 	refusals expvar.Map
 }
@@ -257,9 +261,15 @@
 // New returns a gate. Only Run cancels the requests of unusable keys and
 // disconnected callers.
 func New(opts Options) *Gate {
-	return &Gate{Options: opts, inflight: newInflight(), conns: callerconn.NewTracker(func() callerconn.Timeouts {
+	g := &Gate{Options: opts, inflight: newInflight(), conns: callerconn.NewTracker(func() callerconn.Timeouts {
 		return callerconn.Timeouts{Idle: opts.Limits.IdleTimeout, Read: opts.Limits.RequestReadTimeout}
 	})}
+	g.conns.Limit(opts.Limits.Concurrency, opts.Log)
+	if opts.Services != nil {
+		opts.Services.freeDescriptor = g.FreeDescriptor
+	}
+	g.writes.Timeout = func() time.Duration { return opts.Limits.WriteProgressTimeout }
+	return g
 }
 
 // Run cancels the requests whose key is no longer usable or whose caller has
@@ -292,6 +302,34 @@
 // ReadInClose counts the requests that were read after CloseConnections.
 func (g *Gate) ReadInClose() expvar.Var { return &g.conns.ReadInClose }
 
+// Accepting reports whether the listener can accept connections.
+func (g *Gate) Accepting() bool {
+	l := g.accepting.Load()
+	return l == nil || !l.Failing()
+}
+
+// FreeDescriptor closes an idle connection to an engine or, if there is none, one of a
+// caller. It reports whether there was one.
+func (g *Gate) FreeDescriptor() bool {
+	return g.Engines != nil && g.Engines.CloseLongestIdle() || g.conns.CloseOne()
+}
+
+// ConnectionCounts returns the metrics of the limits of connections.
+func (g *Gate) ConnectionCounts() map[string]int64 {
+	idle, reading := g.conns.ClosedForRoom()
+	counts := map[string]int64{
+		"open": int64(g.conns.Open()), "limit": int64(g.Limits.Concurrency), "refused": g.conns.Refused().Value(),
+		"closed_for_room_idle": idle.Value(), "closed_for_room_reading": reading.Value(), "writes_stalled": g.writes.Stalled.Value(),
+	}
+	if l := g.accepting.Load(); l != nil {
+		counts["accepts_failed"] = l.Failures().Value()
+	}
+	if g.Engines != nil {
+		counts["engines_open"], counts["engines_closed_for_room"] = g.Engines.Open()
+	}
+	return counts
+}
+
 // InFlight returns the number of running requests.
 func (g *Gate) InFlight() int { return g.inflight.len() }
 
--- a/pkg/gate/server.go
+++ b/pkg/gate/server.go
@@ -7,46 +7,20 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/acceptretry"
 	"github.com/clementineshed/clementineshed/pkg/callerconn"
 )
 
 // closePollInterval is the time between two checks for open connections in a stop.
 const closePollInterval = 50 * time.Millisecond
 
-// writeTimeoutConn limits the time of one write, so that a caller that reads
-// nothing does not hold a request for ever. The server's own WriteTimeout covers
-// the complete answer and would cut off long streams.
-type writeTimeoutConn struct {
-	net.Conn
-	timeout time.Duration
-}
-
-// NetConn returns the wrapped connection, for connstate.Of.
-func (c *writeTimeoutConn) NetConn() net.Conn { return c.Conn }
-
-func (c *writeTimeoutConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
-type writeTimeoutListener struct {
-	net.Listener
-	timeout time.Duration
-}
-
-func (l *writeTimeoutListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &writeTimeoutConn{Conn: conn, timeout: l.timeout}, nil
-}
-
-// Listener wraps l with the gate's timeouts, and with TLS if config is set.
+// Listener wraps l with the gate's limits and timeouts, and with TLS if config is set.
 func (g *Gate) Listener(l net.Listener, config *tls.Config) net.Listener {
-	l = &writeTimeoutListener{Listener: l, timeout: g.Limits.WriteProgressTimeout}
+	retrying := acceptretry.New(l, acceptretry.Options{Free: g.FreeDescriptor, Log: g.Log})
+	g.accepting.Store(retrying)
+	// The server's own WriteTimeout covers the complete answer and would cut off long
+	// streams.
+	l = g.writes.Listener(retrying)
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
@@ -65,12 +39,14 @@
 // Server returns the HTTP server for callers, which serves a listener of Listener.
 func (g *Gate) Server() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               g.Handle,
-		ErrorHandler:          g.handleReadError,
-		ConnState:             g.conns.OnStateChange,
-		ReadBufferSize:        g.Limits.HeaderBytes,
-		MaxRequestBodySize:    g.Limits.BodyBytes,
-		Concurrency:           g.Limits.Concurrency,
+		Handler:            g.Handle,
+		ErrorHandler:       g.handleReadError,
+		ConnState:          g.conns.OnStateChange,
+		ReadBufferSize:     g.Limits.HeaderBytes,
+		MaxRequestBodySize: g.Limits.BodyBytes,
+		// The tracker bounds the connections. One that it has closed counts here until its
+		// worker has noticed.
+		Concurrency:           2 * g.Limits.Concurrency,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                discardLogger{},
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/retryafter"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
@@ -38,6 +39,9 @@
 // client never retries a call. It is safe for concurrent use.
 type ServiceClient struct {
 	tlsConfig func() *tls.Config
+	// freeDescriptor closes a connection that can be spared and reports whether there was
+	// one; nil before New of a gate.
+	freeDescriptor func() bool
 }
 
 // NewServiceClient returns a client. It calls tlsConfig for each connection; nil
@@ -56,7 +60,7 @@
 
 func (c *ServiceClient) call(ctx context.Context, address string, request *ServiceRequest) (ServiceAnswer, error) {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := descriptors.Retry(c.freeDescriptor, func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
 	if err != nil {
 		return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 	}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -14,7 +14,9 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/acceptretry"
 	"github.com/clementineshed/clementineshed/pkg/callerconn"
+	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/loadshare"
@@ -91,6 +93,11 @@
 	metrics      *relay.Metrics
 	server       *fasthttp.Server
 	conns        *callerconn.Tracker
+	// shares are the connections that the host may have open.
+	shares descriptors.Shares
+	// callersListener accepts the connections of callers. It is set by Run.
+	callersListener atomic.Pointer[acceptretry.Listener]
+	writes          callerconn.WriteProgress
 	// followers holds one follower per topic. It is not changed after New.
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
@@ -113,7 +120,9 @@
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
-		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
+		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
+	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints,
+		BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
@@ -124,6 +133,8 @@
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
+	h.conns.Limit(h.shares.Callers, logger)
+	h.writes.Timeout = func() time.Duration { return writeProgressTimeout }
 	h.followers = map[string]*keyedlog.Follower{
 		adapter.ConfigurationTopic: h.configurationFollower(),
 		adapter.EndpointsTopic:     h.endpointsFollower(),
@@ -194,6 +205,8 @@
 		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage,
 		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
 	})
+	retrying := h.retryAccept(callers)
+	h.callersListener.Store(retrying)
 	h.duties = newDuties(h, h.adapter.LogService, h.adapter.Platform)
 	workCtx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -212,7 +225,7 @@
 		wg.Go(func() { h.serveMetrics(metrics) })
 	}
 	wg.Go(func() {
-		if err := h.server.Serve(h.conns.Listener(callers)); err != nil && ctx.Err() == nil {
+		if err := h.server.Serve(h.conns.Listener(h.writes.Listener(retrying))); err != nil && ctx.Err() == nil {
 			h.log.WithError(err).Error("callers_listener_failed")
 		}
 	})
--- a/pkg/relayhost/limits.go
+++ b/pkg/relayhost/limits.go
@@ -26,6 +26,9 @@
 	maxIdleTimeout   = 10 * time.Minute
 	// bodyTimeout bounds the reading of a body. The configuration does not limit it.
 	bodyTimeout = 30 * time.Second
+	// writeProgressTimeout bounds the time in which a caller reads nothing of its answer.
+	// It is the default of the product's own settings.
+	writeProgressTimeout = 20 * time.Second
 )
 
 // appliedLimits returns the limits that a host with the given memory applies if its
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -20,18 +20,15 @@
 
 // serveMetrics serves the metrics until the listener closes.
 func (h *Host) serveMetrics(l net.Listener) {
-	server := &fasthttp.Server{
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if string(ctx.Path()) != MetricsPath {
-				ctx.SetStatusCode(404)
-				return
-			}
-			ctx.SetContentType("text/plain; charset=utf-8")
-			ctx.SetBodyString(h.metricsText())
-		},
-		ReadTimeout: requestReadTimeout, IdleTimeout: operatorIdleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
-	}
-	if err := server.Serve(l); err != nil && !h.draining.Load() {
+	err := h.serveOperators(l, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != MetricsPath {
+			ctx.SetStatusCode(404)
+			return
+		}
+		ctx.SetContentType("text/plain; charset=utf-8")
+		ctx.SetBodyString(h.metricsText())
+	})
+	if err != nil && !h.draining.Load() {
 		h.log.WithError(err).Error("metrics_listener_failed")
 	}
 }
@@ -57,6 +54,7 @@
 	line("caller_connections", h.conns.Open())
 	line("caller_connections_closed_idle", h.conns.ClosedIdle.Value())
 	line("requests_read_in_close", h.conns.ReadInClose.Value())
+	h.connectionMetrics(line)
 	line("connections_dialed", h.client.Dials())
 	line("ready", boolNumber(h.ready()))
 	if table, err := h.routes.Current(); err == nil {
--- a/pkg/relayhost/settings.go
+++ b/pkg/relayhost/settings.go
@@ -19,6 +19,9 @@
 	PeerPort, MetricsPort int
 	// MemoryBytes is the memory limit above which the process is killed.
 	MemoryBytes int64
+	// MaxFDs is the number of file descriptors that the process may have open; zero means
+	// that only its RLIMIT_NOFILE bounds it.
+	MaxFDs int
 	// LinkBytesPerSecond is the rate of the host's network link.
 	LinkBytesPerSecond float64
 	// StoreAddress is the address of the platform's store.
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -27,15 +27,12 @@
 
 // serveReady answers readiness checks until the listener closes.
 func (h *Host) serveReady(l net.Listener) {
-	server := &fasthttp.Server{
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if !h.ready() {
-				ctx.SetStatusCode(503)
-			}
-		},
-		ReadTimeout: requestReadTimeout, IdleTimeout: operatorIdleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
-	}
-	if err := server.Serve(l); err != nil && !h.draining.Load() {
+	err := h.serveOperators(l, func(ctx *fasthttp.RequestCtx) {
+		if !h.ready() {
+			ctx.SetStatusCode(503)
+		}
+	})
+	if err != nil && !h.draining.Load() {
 		h.log.WithError(err).Error("readiness_listener_failed")
 	}
 }
@@ -45,6 +42,9 @@
 	if h.draining.Load() || !h.endpointsLoaded.Load() {
 		return false
 	}
+	if l := h.callersListener.Load(); l != nil && l.Failing() {
+		return false
+	}
 	_, err := h.routes.Current()
 	return err == nil
 }
--- a/pkg/standin/faultproxy/tcp.go
+++ b/pkg/standin/faultproxy/tcp.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementineshed/clementineshed/pkg/acceptretry"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, steperr.Wrap(err, "listen", address)
 	}
-	p := &TCP{target: target, listener: listener, conns: map[*proxiedConn]struct{}{}}
+	p := &TCP{target: target, listener: acceptretry.New(listener, acceptretry.Options{}), conns: map[*proxiedConn]struct{}{}}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.workers.Add(1)
 	go p.accept()
--- a/pkg/standin/httpd/server.go
+++ b/pkg/standin/httpd/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/acceptretry"
 	"github.com/clementineshed/clementineshed/pkg/logging"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
@@ -93,7 +94,7 @@
 	s.log.WithFields(log.Fields{"standin": s.name, "address": listener.Addr().String()}).Info("listening")
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(&trackingListener{Listener: listener, server: s})
+		_ = s.http.Serve(&trackingListener{Listener: acceptretry.New(listener, acceptretry.Options{Log: s.log}), server: s})
 	}()
 	return nil
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -38,6 +38,9 @@
 	// announce a shorter time. MaxIdle bounds the idle connections per address.
 	IdleTimeout time.Duration
 	MaxIdle     int
+	// MaxOpen bounds the open connections: idle ones are closed, the longest idle first,
+	// when there would be more. Zero means no bound.
+	MaxOpen int
 	// BodyBudget bounds the bytes of all bodies that are read at the same time; zero
 	// means no bound.
 	BodyBudget int64
@@ -51,7 +54,7 @@
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	return &Client{bodies: budget{limit: opts.BodyBudget}, pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, idle: map[string][]*conn{}}}
+	return &Client{bodies: budget{limit: opts.BodyBudget}, pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/clementineshed/clementineshed/pkg/connstate"
+	"github.com/clementineshed/clementineshed/pkg/descriptors"
 )
 
 const (
@@ -48,6 +50,9 @@
 	idleTimeout time.Duration
 	// onSilence is nil or called when the read deadline has passed, see Read.
 	onSilence func() time.Duration
+	// open counts the open connections, among them this one until closed is set.
+	open   *atomic.Int64
+	closed atomic.Bool
 }
 
 // Read implements io.Reader. When the read deadline has passed, it asks onSilence how
@@ -113,11 +118,16 @@
 	dialTimeout time.Duration
 	idleTimeout time.Duration
 	maxIdle     int
+	maxOpen     int
+	// open counts the open connections, in use or idle.
+	open atomic.Int64
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // guarded by mu
 	closed bool               // guarded by mu
 	dials  int64              // guarded by mu
+	// closedForRoom counts the idle connections that were closed to open others.
+	closedForRoom int64 // guarded by mu
 }
 
 // get returns an idle connection to the address, or a new one if there is none or
@@ -131,11 +141,15 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	nc, err := dialer(p.dialTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
+	p.makeRoom()
+	nc, err := descriptors.Retry(p.closeLongestIdle, func() (net.Conn, error) {
+		return dialer(p.dialTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
+	})
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, address: address}
+	p.open.Add(1)
+	c := &conn{Conn: nc, address: address, open: &p.open}
 	c.r = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -171,7 +185,7 @@
 	c.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.address]) >= p.maxIdle {
+	if p.closed || len(p.idle[c.address]) >= p.maxIdle || p.maxOpen > 0 && p.open.Load() > int64(p.maxOpen) {
 		_ = c.Close()
 		return
 	}
