--- a/pkg/callerconn/writeprogress_test.go
+++ b/pkg/callerconn/writeprogress_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-const testWriteTimeout = 400 * time.Millisecond
+const testWriteTimeout = 800 * time.Millisecond
 
 // writeToPeer writes size bytes to a peer on loopback with a small send buffer, and
 // returns the error of the write. read runs with the peer's end.
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := socket(conn).(*net.TCPConn).SetWriteBuffer(256 << 10); err != nil {
+	if err := socket(conn).(*net.TCPConn).SetWriteBuffer(64 << 10); err != nil {
 		t.Fatal(err)
 	}
 	go read(peer)
@@ -58,13 +58,19 @@
 // TestSlowReaderMakesProgress guards against a write that is aborted after the timeout
 // in total, or because the kernel has taken no further bytes, although its caller reads.
 func TestSlowReaderMakesProgress(t *testing.T) {
-	const size = 1 << 20
+	// The rate frees too little of the send buffer within the timeout for the kernel to
+	// take further bytes.
+	const size, bytesPerSecond = 300 << 10, 55_000
 	began := time.Now()
 	progress, err := writeToPeer(t, size, func(peer net.Conn) {
-		// A third of the send buffer is read in more than the timeout.
-		for buffer := make([]byte, 8<<10); ; time.Sleep(testWriteTimeout / 8) {
-			if _, err := peer.Read(buffer); err != nil {
-				return
+		buffer := make([]byte, bytesPerSecond/50)
+		for read := 0; ; time.Sleep(5 * time.Millisecond) {
+			for float64(read) < bytesPerSecond*time.Since(began).Seconds() {
+				n, err := peer.Read(buffer)
+				if err != nil {
+					return
+				}
+				read += n
 			}
 		}
 	})
