Connections: close what cannot be served, and eject no endpoint for it

Cause: with no descriptor left and nothing to close, clients waited in the backlog until their own time-out. The socket of a listener that had ended for good went on completing connections. A dial that failed for lack of descriptors counted as a failure of the endpoint, which was ejected here and, by report, on other hosts.

Change: acceptretry keeps one spare descriptor for each listener and gives it up to accept a connection and close it at once; the host is not ready meanwhile. The relay closes the socket of a listener that has ended. pkg/relay records no failure of an endpoint for EMFILE and ENFILE.

--- a/pkg/acceptretry/acceptretry.go
+++ b/pkg/acceptretry/acceptretry.go
@@ -7,6 +7,7 @@
 import (
 	"expvar"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -55,20 +56,33 @@
 	failed    atomic.Bool
 	attemptAt atomic.Int64
 	failures  expvar.Int
+	refused   expvar.Int
+	// spare is given up when there is no other descriptor, to accept a connection and
+	// close it, so that its client does not wait in the backlog. Only Accept uses it.
+	// spent is set while it is given up.
+	spare *os.File
+	spent atomic.Bool
 }
 
 // New returns a listener that accepts from l.
 func New(l net.Listener, opts Options) *Listener { return &Listener{Listener: l, opts: opts} }
 
 // Accept implements net.Listener. It returns only errors that are not temporary, and
-// timeouts.
+// timeouts. It must not be called concurrently.
 func (l *Listener) Accept() (net.Conn, error) {
 	delay := minDelay
+	l.openSpare()
 	for {
 		l.attemptAt.Store(time.Now().UnixNano())
 		conn, err := l.Listener.Accept()
 		l.attemptAt.Store(0)
 		if err == nil {
+			if !l.openSpare() {
+				_ = conn.Close()
+				l.refused.Add(1)
+				l.openSpare()
+				continue
+			}
 			l.failed.Store(false)
 			return conn, nil
 		}
@@ -77,6 +91,7 @@
 		}
 		l.failed.Store(true)
 		if !isTemporary(err) {
+			l.closeSpare()
 			return nil, err
 		}
 		l.failures.Add(1)
@@ -86,17 +101,29 @@
 		if descriptors.Exhausted(err) && l.opts.Free != nil && l.opts.Free() {
 			continue
 		}
+		if descriptors.Exhausted(err) && l.closeSpare() {
+			l.spent.Store(true)
+			continue
+		}
 		time.Sleep(delay)
 		delay = min(2*delay, maxDelay)
 	}
 }
 
 // Failing reports whether the listener cannot accept connections: the last attempt
-// has failed, and the current one, if any, does not wait for a connection yet.
+// has failed, and the current one, if any, does not wait for a connection that can be
+// served.
 func (l *Listener) Failing() bool {
 	if !l.failed.Load() {
 		return false
 	}
+	if l.spent.Load() {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			return true
+		}
+		_ = f.Close()
+	}
 	at := l.attemptAt.Load()
 	return at == 0 || time.Since(time.Unix(0, at)) < acceptGrace
 }
@@ -104,6 +131,33 @@
 // Failures counts the attempts that have failed with a temporary error.
 func (l *Listener) Failures() *expvar.Int { return &l.failures }
 
+// Refused counts the connections that were closed because there was no other descriptor.
+func (l *Listener) Refused() *expvar.Int { return &l.refused }
+
+// openSpare reports false if there is no descriptor for the spare.
+func (l *Listener) openSpare() bool {
+	if l.spare != nil {
+		return true
+	}
+	f, err := os.Open(os.DevNull)
+	if err != nil {
+		return !descriptors.Exhausted(err)
+	}
+	l.spare = f
+	l.spent.Store(false)
+	return true
+}
+
+// closeSpare reports whether there was a spare.
+func (l *Listener) closeSpare() bool {
+	if l.spare == nil {
+		return false
+	}
+	_ = l.spare.Close()
+	l.spare = nil
+	return true
+}
+
 func isTemporary(err error) bool {
 	for _, t := range temporary {
 		if errors.Is(err, t) {
--- a/pkg/acceptretry/acceptretry_test.go
+++ b/pkg/acceptretry/acceptretry_test.go
@@ -170,3 +170,79 @@
 		t.Error("the listener counts as failing after an accepted connection")
 	}
 }
+
+// TestConnectionIsClosedWithoutDescriptors guards against clients that wait in the
+// backlog while the process has no descriptor for them, and against a host that counts
+// as able to accept because it closes connections.
+func TestConnectionIsClosedWithoutDescriptors(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(inner, Options{Free: func() bool { return false }})
+	accepted := make(chan net.Conn, 10)
+	go func() {
+		defer close(accepted)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	dial()
+	served := <-accepted
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	low := limit
+	low.Cur = 100
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &low); err != nil {
+		t.Fatal(err)
+	}
+	var taken []*os.File
+	for len(taken) < 100 {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			break
+		}
+		taken = append(taken, f)
+	}
+	// The client and the accepted connection need one each, the listener gets none.
+	_ = taken[0].Close()
+	refused := dial()
+	_ = refused.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, readErr := refused.Read(make([]byte, 1))
+	eventually(t, "the connection is counted", func() bool { return l.Refused().Value() > 0 })
+	failing := l.Failing()
+	for _, f := range taken[1:] {
+		_ = f.Close()
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	if isTimeout(readErr) || readErr == nil {
+		t.Errorf("the connection is still open: %v", readErr)
+	}
+	if !failing {
+		t.Error("the listener does not count as failing")
+	}
+	eventually(t, "the listener can accept", func() bool { return !l.Failing() })
+	dial()
+	for _, conn := range []net.Conn{served, <-accepted} {
+		_ = conn.Close()
+	}
+	_ = inner.Close()
+	for range accepted {
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -323,6 +323,7 @@
 	}
 	if l := g.accepting.Load(); l != nil {
 		counts["accepts_failed"] = l.Failures().Value()
+		counts["refused_without_descriptors"] = l.Refused().Value()
 	}
 	if g.Engines != nil {
 		counts["engines_open"], counts["engines_closed_for_room"] = g.Engines.Open()
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
@@ -149,6 +150,9 @@
 	now := time.Now()
 	kind := outlier.BadAnswer
 	switch {
+	case descriptors.Exhausted(err):
+		// This host could not open a connection, which says nothing of the endpoint.
+		return
 	case notSent(err):
 		kind = outlier.Unreachable
 		h.Client.CloseIdle(m.Address)
--- a/pkg/relayhost/connections.go
+++ b/pkg/relayhost/connections.go
@@ -18,7 +18,7 @@
 // a caller. It reports whether there was one.
 func (h *Host) freeDescriptor() bool { return h.client.CloseLongestIdle() || h.conns.CloseOne() }
 
-// serveOperators serves readiness checks or metrics until the listener closes. Their
+// serveOperators serves readiness checks or metrics until the listener ends. Their
 // connections are few, and bounded as those of callers are.
 func (h *Host) serveOperators(l net.Listener, handler fasthttp.RequestHandler) error {
 	conns := callerconn.NewTracker(func() callerconn.Timeouts {
@@ -26,7 +26,10 @@
 	})
 	conns.Limit(h.shares.Operators, h.log)
 	server := &fasthttp.Server{Handler: handler, ConnState: conns.OnStateChange, NoDefaultServerHeader: true, Logger: discardLogger{}}
-	return server.Serve(conns.Listener(h.writes.Listener(h.retryAccept(l))))
+	err := server.Serve(conns.Listener(h.writes.Listener(h.retryAccept(l))))
+	// After a failure, clients are refused by the kernel instead of waiting in the backlog.
+	_ = l.Close()
+	return err
 }
 
 // connectionMetrics writes the metrics of the limits of connections.
@@ -39,6 +42,7 @@
 	line("caller_writes_stalled", h.writes.Stalled.Value())
 	if l := h.callersListener.Load(); l != nil {
 		line("accepts_failed", l.Failures().Value())
+		line("caller_connections_refused_without_descriptors", l.Refused().Value())
 	}
 	open, closed := h.client.Open()
 	line("endpoint_connections", open)
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -227,6 +227,8 @@
 	wg.Go(func() {
 		if err := h.server.Serve(h.conns.Listener(h.writes.Listener(retrying))); err != nil && ctx.Err() == nil {
 			h.log.WithError(err).Error("callers_listener_failed")
+			// New callers are refused by the kernel instead of waiting in the backlog.
+			_ = callers.Close()
 		}
 	})
 	h.log.WithField("domain", h.settings.Domain).WithField("callers", h.settings.CallersAddr).Info("host_started")
