relay: token quotas of teams over all hosts

Cause: the operators' configuration may limit what a team spends; the relay path knew no limit.

Change: ratePerS, burstSize, unit and plainTokens of a tenant, and the optional settings bounds.quotaWindowS, quotaOvershoot and quotaSlack. pkg/quotashare asks the owner of the team with a datagram of its own kind, sent again after 35 ms, then the owner's deputy, which passes the question on; without an answer the host decides within its own share. Questions have ids, so that a repeated one is charged once. pkg/relay asks before work is chosen and gives the tokens back when the request has not run; a refusal is 429 with the time until the credit is available. Metrics quota_*, fields of request_ended and host_state. A host that stops hands its teams over. Without a quota there is no datagram, no wait and no state.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -56,6 +56,9 @@
 	silenceThreshold = 1500 * time.Millisecond
 	handoverTime     = 2 * time.Second
 	awaitTimeout     = 12 * time.Second
+	// shownGap is the silence after which a peer may have been cut off for longer than a
+	// lost heartbeat takes.
+	shownGap = 2500 * time.Millisecond
 	// maxDatagramBytes keeps a datagram within one network packet.
 	maxDatagramBytes = 1300
 	// reportBytes is the usual encoded size of a report. It sets the number of
@@ -141,6 +144,9 @@
 	OnPage       func(topic string, from int64, page keyedlog.Page)
 	// OnUsage receives usage counts that another host has forwarded.
 	OnUsage func([]usage.Flush)
+	// OnQuota receives a datagram about quotas. reply sends one to its sender, and may be
+	// called later.
+	OnQuota func(data []byte, reply func([]byte))
 	// Leads reports whether this host reads the store for the others, which need
 	// its progress often.
 	Leads func() bool
@@ -183,6 +189,9 @@
 	// datagram of its own last arrived, returnedAt when it was first heard after its
 	// last silence.
 	heardAt, directAt, returnedAt time.Time
+	// shownAt is when a datagram last showed that the peer lives, itself or by a relay,
+	// shownSince when the first one after a silence of shownGap did.
+	shownAt, shownSince time.Time
 }
 
 // New returns an exchange that Run starts.
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -16,6 +16,7 @@
 	"github.com/clementineshed/clementineshed/pkg/logging"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -64,6 +65,7 @@
 		OnLeaving: func(endpoint, host string, startedMillis int64) {
 			n.record(func() { n.leaving = append(n.leaving, fmt.Sprintf("%s of %s, %d", endpoint, host, startedMillis)) })
 		},
+		OnQuota:      func(data []byte, reply func([]byte)) { reply(append([]byte{quotashare.AnswerHeader}, data[1:]...)) },
 		OnUsage:      func(f []usage.Flush) { n.record(func() { n.flushes = append(n.flushes, f...) }) },
 		ReadProgress: func() map[string]Progress { return map[string]Progress{"t": {Next: 7, AgeMillis: 900}} },
 		OnProgress:   func(p map[string]Progress) { n.record(func() { n.progress = p }) },
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -9,6 +9,7 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/placement"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 )
 
@@ -16,7 +17,7 @@
 func (x *Exchange) receive(ctx context.Context) {
 	buf := make([]byte, 64<<10)
 	for ctx.Err() == nil {
-		n, _, err := x.opts.Conn.ReadFrom(buf)
+		n, from, err := x.opts.Conn.ReadFrom(buf)
 		if err != nil {
 			if ctx.Err() == nil {
 				// The socket reports failed deliveries of earlier datagrams
@@ -38,6 +39,10 @@
 			x.receiveEvidence(buf[:n])
 			continue
 		}
+		if n > 0 && (buf[0] == quotashare.QuestionHeader || buf[0] == quotashare.AnswerHeader) {
+			x.opts.OnQuota(buf[:n], func(data []byte) { _, _ = x.opts.Conn.WriteTo(data, from) })
+			continue
+		}
 		var m message
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			x.opts.Log.WithError(err).Warn("load_report_not_readable")
--- a/pkg/loadshare/relay.go
+++ b/pkg/loadshare/relay.go
@@ -321,6 +321,10 @@
 		p.returnedAt = now
 	}
 	p.heardAt = now
+	if now.Sub(p.shownAt) > shownGap {
+		p.shownSince = now
+	}
+	p.shownAt = now
 }
 
 // live returns the silence up to which a peer counts as live. It must be called with
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -30,7 +30,7 @@
 	}
 	if _, credited := b.credited[team]; !credited {
 		// Once in a window: the owner of a team may change often.
-		k.level = min(full, b.opts.Bounds.Slack*startShare*share)
+		k.level = min(full, b.opts.Bounds.startCredit(limit)*share)
 		b.credited[team] = b.clock
 	}
 	return k
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -44,6 +44,9 @@
 	// suspectTime is the time after an unanswered question in which datagrams from the
 	// host that is asked may have been sent before it.
 	suspectTime = 300 * time.Millisecond
+	// leftTime is the time for which a host that stops is not taken for an owner. It is
+	// gone by then, or has started again.
+	leftTime = 10 * time.Second
 	// maxWait is how long a request is held for credit instead of being refused.
 	maxWait = 150 * time.Millisecond
 	// departureTime is how long the departure of a host is remembered; a bucket fills in
@@ -57,6 +60,9 @@
 	// A window may see a debt on each side of a cut, and up to four new owners.
 	debtShare  = 0.5
 	startShare = 0.125
+	// startOvershootShare bounds the start by the overshoot, for limits on requests, to
+	// which the slack is large.
+	startOvershootShare = 0.5
 	// defaultBurstTime is the time of the rate that a bucket holds if the limit has no
 	// burst. The bound's overshoot of 0.1 over a window of 8 s allows for 0.8 s.
 	defaultBurstTime = 0.5
@@ -94,6 +100,11 @@
 	return (l.Rate*b.Window.Seconds()+l.Burst)*(1+b.Overshoot) + b.Slack
 }
 
+// startCredit returns what a new owner may grant before it refills.
+func (b Bounds) startCredit(l Limit) float64 {
+	return min(b.Slack*startShare, (l.Rate*b.Window.Seconds()+l.Burst)*b.Overshoot*startOvershootShare)
+}
+
 // Reason says why a decision was made.
 type Reason string
 
@@ -157,6 +168,8 @@
 	known, heard int
 	candidates   map[string]uint64
 	suspects     map[string]time.Time
+	// left holds the hosts that have said that they stop.
+	left map[string]int64
 	// answeredAt holds when a host last answered a question.
 	answeredAt map[string]time.Time
 	departures []departure
@@ -177,7 +190,7 @@
 
 // NewBook returns an empty book.
 func NewBook(opts Options) *Book {
-	return &Book{opts: opts, known: 1, heard: 1, candidates: map[string]uint64{}, suspects: map[string]time.Time{}, answeredAt: map[string]time.Time{},
+	return &Book{opts: opts, known: 1, heard: 1, candidates: map[string]uint64{}, suspects: map[string]time.Time{}, answeredAt: map[string]time.Time{}, left: map[string]int64{},
 		owners: map[string]string{}, owned: map[string]*bucket{}, local: map[string]*bucket{}, credited: map[string]int64{}}
 }
 
@@ -212,6 +225,7 @@
 // Update takes in what is known of the other hosts, all of them. It returns the
 // buckets of teams that another host owns now, which must be handed over to it.
 func (b *Book) Update(now time.Time, peers []Peer) []Handover {
+	first := b.lastNow.IsZero()
 	b.advance(now)
 	b.known, b.heard = 1+len(peers), 1
 	firstStart, starting := b.inFirstStart(), !b.frozen && b.clock-b.started < (startupTime+joinTime).Microseconds()
@@ -226,6 +240,15 @@
 		if since, suspected := b.suspects[p.Host]; suspected && p.HeardAt.Sub(since) > suspectTime {
 			delete(b.suspects, p.Host)
 		}
+		if left, ok := b.left[p.Host]; ok {
+			if b.clock-left < leftTime.Microseconds() {
+				continue
+			}
+			delete(b.left, p.Host)
+		}
+		if first && !p.Live && silence < departureTime {
+			b.departures = append(b.departures, departure{xxhash.Sum64String(p.Host), b.clock - silence.Microseconds()})
+		}
 		if _, suspected := b.suspects[p.Host]; p.Live && !suspected && (joined || starting) {
 			live[p.Host] = struct{}{}
 		}
@@ -291,16 +314,29 @@
 }
 
 // Suspect records that a host has not answered a question. Unless it has answered
-// another one since, another host owns its teams until it is heard again.
-func (b *Book) Suspect(host string, asked, now time.Time) {
+// another one since, another host owns its teams until it is heard again. Suspect reports
+// whether that is so.
+func (b *Book) Suspect(host string, asked, now time.Time) bool {
 	b.advance(now)
 	if _, ok := b.candidates[host]; !ok || host == b.opts.Host || b.answeredAt[host].After(asked) {
-		return
+		return false
 	}
 	b.suspects[host] = now
 	b.departures = append(b.departures, departure{b.candidates[host], b.clock})
 	delete(b.candidates, host)
 	clear(b.owners)
+	return true
+}
+
+// Left records that a host stops and owns no teams any more.
+func (b *Book) Left(host string, now time.Time) {
+	b.advance(now)
+	b.left[host] = b.clock
+	if hash, ok := b.candidates[host]; ok {
+		b.departures = append(b.departures, departure{hash, b.clock})
+		delete(b.candidates, host)
+		clear(b.owners)
+	}
 }
 
 // Leave makes the book hand over all teams with the next Update.
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -39,6 +39,7 @@
 	CodeIdempotencyReused   = "idempotency_key_reused"
 	CodeRecordUnavailable   = "attempt_record_unavailable"
 	CodeOutcomeUnknown      = "outcome_unknown"
+	CodeQuotaExceeded       = "quota_exceeded"
 	CodeOverloaded          = "overloaded"
 	CodeNoEndpoint          = "no_endpoint"
 	CodeQuarantined         = "request_quarantined"
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/connstate"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
@@ -48,6 +49,9 @@
 	service  string
 	team     string
 	priority int
+	// teamQuota is nil if the team has none, quota what the request has taken from it.
+	teamQuota *routes.Quota
+	quota     quotashare.Result
 
 	// attempts counts the sends that may have run the request. For plain services
 	// it also counts those that an endpoint refused.
@@ -172,6 +176,7 @@
 	x.finishOnce.Do(func() {
 		x.cancelDeadline()
 		x.cancel(nil)
+		x.returnQuota()
 		x.handler.inflight.remove(x)
 		x.handler.Metrics.record(x)
 		x.log()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
@@ -52,6 +53,8 @@
 	// Guard refuses requests that crash endpoints.
 	Guard  *quarantine.Guard
 	Budget *retry.SharedBudget
+	// Quotas decides on the requests of teams that have a quota.
+	Quotas *quotashare.Service
 	Client *upstream.Client
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
@@ -159,6 +162,9 @@
 	if service == nil {
 		return refusal.NotRun(503, refusal.CodeNoEndpoint, "the route's service is not configured")
 	}
+	if r := x.takeQuota(x.teamQuota); r != nil {
+		return r
+	}
 	h.Budget.RecordRequest(x.service, x.arrived)
 	if service.Engine != nil && x.call.Prompt != nil {
 		return h.generate(x, h.Models.For(x.service))
@@ -194,7 +200,7 @@
 		if err != nil {
 			return refusal.NotRun(401, refusal.CodeUnknownKey, "the key is not known").WithCause(err)
 		}
-		x.team = team.Name
+		x.team, x.teamQuota = team.Name, team.Quota
 		if team.Priority != nil {
 			x.priority = *team.Priority
 		}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -22,6 +22,7 @@
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
@@ -89,6 +90,8 @@
 	client       *upstream.Client
 	handler      *relay.Handler
 	metrics      *relay.Metrics
+	quotas       *quotashare.Service
+	quotaMetrics *quotashare.Metrics
 	server       *fasthttp.Server
 	conns        *callerconn.Tracker
 	// followers holds one follower per topic. It is not changed after New.
@@ -112,15 +115,16 @@
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
+	h.quotas = h.newQuotas()
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
-		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
+		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Quotas: h.quotas, Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
@@ -191,7 +195,7 @@
 	h.exchange = loadshare.New(loadshare.Options{
 		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
 		OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving,
-		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage,
+		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage, OnQuota: h.quotas.Receive,
 		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
 	})
 	h.duties = newDuties(h, h.adapter.LogService, h.adapter.Platform)
@@ -203,6 +207,7 @@
 	}
 	wg.Go(func() { h.announce(workCtx) })
 	wg.Go(func() { h.exchange.Run(workCtx) })
+	wg.Go(func() { h.quotas.Run(workCtx) })
 	wg.Go(func() { h.duties.run(workCtx) })
 	wg.Go(func() { h.runHousekeeping(workCtx) })
 	wg.Go(func() { h.runEvidence(workCtx) })
@@ -218,6 +223,7 @@
 	})
 	h.log.WithField("domain", h.settings.Domain).WithField("callers", h.settings.CallersAddr).Info("host_started")
 	<-ctx.Done()
+	h.quotas.Leave()
 	h.drain(callers)
 	h.withdraw()
 	stop()
@@ -270,6 +276,7 @@
 func (h *Host) logState() {
 	fields := log.Fields{"ready": h.ready(), "leads": h.leads(), "hosts_heard": h.liveHosts(), "hosts_known": h.knownHosts(),
 		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight()}
+	h.addQuotaState(fields)
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) { fields["store"+strings.ReplaceAll(kv.Key, "/", "_")] = kv.Value.String() })
 	h.log.WithFields(fields).Info("host_state")
 }
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -46,6 +46,7 @@
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) {
 		line("store_calls{call="+strconv.Quote(kv.Key)+"}", kv.Value)
 	})
+	h.quotaMetricsLines(line)
 	line("requests_late", h.metrics.Late.Value())
 	line("sends_repeated", h.metrics.Retries.Value())
 	line("streams_resumed", h.metrics.Resumed.Value())
--- a/pkg/relayhost/settings.go
+++ b/pkg/relayhost/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementineshed/clementineshed/pkg/quota"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 )
 
@@ -46,6 +47,8 @@
 	UsageWindow, UsageDue time.Duration
 	// RetryBudget bounds the retries of requests by all hosts together.
 	RetryBudget retry.SharedLimits
+	// QuotaBounds say how far all hosts together may exceed a team's quota.
+	QuotaBounds quota.Bounds
 }
 
 // Reload logs whether the settings have changed. None of them takes effect
--- a/pkg/routes/document.go
+++ b/pkg/routes/document.go
@@ -1,6 +1,10 @@
 package routes
 
-import "time"
+import (
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/quota"
+)
 
 // Kind says whether a route's requests may run more than once.
 type Kind int
@@ -96,6 +100,30 @@
 	Keys []string
 	// Priority replaces that of the routes; nil if the team has none.
 	Priority *int
+	// Quota limits what the team's requests may spend on all hosts together; nil if
+	// nothing does.
+	Quota *Quota
+}
+
+// Quota is a team's limit.
+type Quota struct {
+	quota.Limit
+	// Tokens says that a request counts as its tokens, and as PlainTokens if it does not
+	// state them. Otherwise each request counts as one.
+	Tokens      bool
+	PlainTokens float64
+}
+
+// Cost returns what a request counts as. tokens is the sum of its prompt and its output
+// limit; stated is false if it does not state them.
+func (q *Quota) Cost(tokens int, stated bool) float64 {
+	switch {
+	case !q.Tokens:
+		return 1
+	case stated:
+		return float64(max(tokens, 0))
+	}
+	return q.PlainTokens
 }
 
 // Limits bound what callers may send.
