gate: token quotas of teams in the product's declarations

Change: a team may declare quota with tokens_per_second and burst_tokens. The gate takes the prompt's estimate and max_tokens before an endpoint is acquired and gives them back when no endpoint has run the request. pkg/entryhost carries the questions as one-way peer messages.

fakes_test.go: the fake configuration may have a quota; no check changes.

Measured: tests of pkg/gate, pkg/declaration, pkg/entryhost, pkg/configstore, pkg/quota and pkg/quotashare pass.

--- a/pkg/declaration/declaration_test.go
+++ b/pkg/declaration/declaration_test.go
@@ -161,3 +161,22 @@
 		}
 	})
 }
+
+// Guards against a quota that limits nothing or admits nothing, and against one that is
+// lost when a document is written and read.
+func TestQuota(t *testing.T) {
+	team := Team{Name: "a", Quota: &Quota{TokensPerSecond: 1000, BurstTokens: 5000}}
+	if err := ValidateObject(team); err != nil {
+		t.Fatal(err)
+	}
+	doc := Document{Teams: []Team{team}}
+	decoded, err := doc.Objects()[0].Decode()
+	if err != nil || *decoded.(Team).Quota != *team.Quota {
+		t.Errorf("got %+v, %v", decoded, err)
+	}
+	for _, q := range []Quota{{TokensPerSecond: 1000}, {BurstTokens: 1}, {TokensPerSecond: -1, BurstTokens: 1}} {
+		if ValidateObject(Team{Name: "a", Quota: &q}) == nil {
+			t.Errorf("%+v is valid", q)
+		}
+	}
+}
--- a/pkg/declaration/types.go
+++ b/pkg/declaration/types.go
@@ -43,6 +43,15 @@
 	// CacheGroup is the group of teams that share prefix caches. A team without
 	// a group shares none.
 	CacheGroup string `json:"cache_group,omitempty"`
+	// Quota limits the tokens of the team's model requests on all hosts together; nil
+	// means no limit.
+	Quota *Quota `json:"quota,omitempty"`
+}
+
+// Quota is a limit on tokens. A request counts as its prompt and its output limit.
+type Quota struct {
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	BurstTokens     float64 `json:"burst_tokens"`
 }
 
 // Key is a caller's key. Only its hash is declared, stored or sent.
--- a/pkg/declaration/validate.go
+++ b/pkg/declaration/validate.go
@@ -128,6 +128,10 @@
 	if t.CacheGroup != "" {
 		v.name(object, "cache_group", t.CacheGroup)
 	}
+	if t.Quota != nil {
+		v.requirePositive(object, "quota.tokens_per_second", t.Quota.TokensPerSecond)
+		v.requirePositive(object, "quota.burst_tokens", t.Quota.BurstTokens)
+	}
 	switch t.OfflineKeys {
 	case "", OfflineRefuse:
 		if t.OfflineLimit != 0 {
@@ -251,6 +255,12 @@
 	}
 }
 
+func (v *validator) requirePositive(object, field string, value float64) {
+	if !(value > 0) {
+		v.addError(object, field, fmt.Sprint(value), "more than 0")
+	}
+}
+
 func (v *validator) budget(b Budget) {
 	if !currencyPattern.MatchString(b.Currency) {
 		v.addError(string(KindBudget), "currency", strconv.Quote(b.Currency), `three capital letters, such as "EUR"`)
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -75,6 +75,7 @@
 	authority  *authority
 	usage      *usageReporter
 	levels     *serviceLevels
+	quotas     *quotas
 	vars       *expvar.Map
 
 	callers   net.Listener
@@ -170,9 +171,10 @@
 	h.authority = newAuthority(h, seed, opts.Roles)
 	h.usage = newUsageReporter(h, seed)
 	h.levels = newServiceLevels(h)
+	h.quotas = newQuotas(h)
 	h.gate = gate.New(gate.Options{
 		Config: configView{store: h.store}, Dispatcher: h.dispatcher, CrashGuard: h.peers.startCrashGuard(),
-		OnceExecutor: &onceExecutor{executor: h.once}, Recorder: recorder{levels: h.levels, usage: h.usage},
+		OnceExecutor: &onceExecutor{executor: h.once}, Recorder: recorder{levels: h.levels, usage: h.usage}, Quotas: h.quotas.service,
 		Engines: h.engines, Services: gate.NewServiceClient(h.tls.endpointsTLS()),
 		Log: h.log, Clock: h.clock, Limits: gateLimits(h.settings.Limits),
 	})
@@ -218,6 +220,7 @@
 	loop(h.peers.runViews)
 	loop(h.dispatcher.Run)
 	loop(h.gate.Run)
+	loop(h.quotas.service.Run)
 	loop(h.authority.run)
 
 	callers := h.gate.Server()
@@ -258,6 +261,7 @@
 func (h *Host) drain(callers *fasthttp.Server) {
 	h.stopping.Store(true)
 	h.gate.BeginDrain()
+	h.quotas.service.Leave()
 	h.log.WithFields(log.Fields{"step": "stop", "in_flight": h.gate.InFlight()}).Info("leaving the balancer")
 	select {
 	case <-h.clock.After(h.settings.Limits.BalancerDelay.Std()):
--- a/pkg/entryhost/peers.go
+++ b/pkg/entryhost/peers.go
@@ -28,6 +28,7 @@
 	kindView          peer.Kind = "config/view"
 	kindState         peer.Kind = "config/state"
 	kindUsageHandover peer.Kind = "usage/hand"
+	kindQuota         peer.Kind = "quota"
 )
 
 // Kinds of gossiped entries.
--- a/pkg/entryhost/vars.go
+++ b/pkg/entryhost/vars.go
@@ -29,6 +29,7 @@
 	vars.Set("confirmed_age_ms", expvar.Func(func() any { return h.confirmedAgeMillis() }))
 	vars.Set("unanswered_orders", expvar.Func(func() any { return len(h.authority.sender.Unanswered()) }))
 	vars.Set("quarantined", expvar.Func(func() any { return h.peers.quarantine.Quarantined() }))
+	vars.Set("quotas", h.quotas.vars())
 	return vars
 }
 
--- a/pkg/gate/chat.go
+++ b/pkg/gate/chat.go
@@ -126,6 +126,10 @@
 	}
 	s := g.newSession(ctx, requestID, c, route, request)
 	s.work.ArrivedAt = arrived
+	if err := s.takeQuota(); err != nil {
+		s.finish(err)
+		return err
+	}
 	if err := s.start(); err != nil {
 		s.finish(err)
 		return err
--- a/pkg/gate/fakes_test.go
+++ b/pkg/gate/fakes_test.go
@@ -31,6 +31,7 @@
 type fakeConfig struct {
 	mu          sync.Mutex
 	keyStatuses map[KeyHash]KeyStatus
+	quota       *declaration.Quota
 }
 
 func newFakeConfig() *fakeConfig {
@@ -74,7 +75,9 @@
 }
 
 func (c *fakeConfig) Team(name string) (declaration.Team, bool) {
-	return declaration.Team{Name: name}, true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return declaration.Team{Name: name, Quota: c.quota}, true
 }
 
 func (c *fakeConfig) Ready() bool { return true }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -17,6 +17,8 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/engineclient"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/quota"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 )
 
@@ -201,6 +203,13 @@
 	RequestEnded(RequestRecord)
 }
 
+// Quotas decides on the tokens of teams that have a quota. Tokens of requests that have
+// not run are given back with Return. Implementations are safe for concurrent use.
+type Quotas interface {
+	Take(ctx context.Context, team string, limit quota.Limit, tokens float64) quotashare.Result
+	Return(team string, taken quotashare.Result)
+}
+
 // Limits bound the requests and connections of callers; see package settings.
 type Limits struct {
 	HeaderBytes          int
@@ -237,11 +246,13 @@
 	CrashGuard   CrashGuard
 	OnceExecutor OnceExecutor
 	Recorder     Recorder
-	Engines      *engineclient.Client
-	Services     *ServiceClient
-	Log          log.Interface
-	Clock        clockwork.Clock
-	Limits       Limits
+	// Quotas is used only for teams that declare a quota.
+	Quotas   Quotas
+	Engines  *engineclient.Client
+	Services *ServiceClient
+	Log      log.Interface
+	Clock    clockwork.Clock
+	Limits   Limits
 }
 
 // Gate serves callers. It is safe for concurrent use.
--- a/pkg/gate/session.go
+++ b/pkg/gate/session.go
@@ -12,6 +12,7 @@
 	"github.com/clementineshed/clementineshed/pkg/engineclient"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
@@ -42,6 +43,8 @@
 	work   Work
 	// identity is how the crash guard recognises the request.
 	identity quarantine.Request
+	// quota is what the request has taken from its team's quota.
+	quota quotashare.Result
 
 	crashAttempt CrashAttempt
 	assignment   Assignment
@@ -351,6 +354,7 @@
 		return
 	}
 	s.finished = true
+	s.returnQuota(err)
 	s.endAttempt(err)
 	s.cancel(nil)
 	s.gate.inflight.remove(s.work.RequestID)
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -21,7 +21,7 @@
 
 // newBucket returns a bucket for a team that this host has owned since a time.
 func (b *Book) newBucket(team string, limit Limit, share float64, since int64) *bucket {
-	k := &bucket{limit: limit, at: since, readyAt: since + joinTime.Microseconds(), createdAt: b.clock, usedAt: b.clock}
+	k := &bucket{limit: limit, at: since, readyAt: since + b.opts.joinTime().Microseconds(), createdAt: b.clock, usedAt: b.clock}
 	full := limit.capacity() * share
 	if b.inFirstStart() && since == b.started {
 		// No host has spent anything before.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -20,13 +20,8 @@
 )
 
 const (
-	// hearTime is the silence up to which a host counts toward the limit that an owner
-	// grants. Heartbeats are a second apart.
-	hearTime = 1500 * time.Millisecond
-	// joinTime is the time for which a new owner does not refill, and for which a host
-	// that was silent must be heard before it counts. It is hearTime, so that a former
-	// owner on the other side of a cut has stopped counting the hosts by then.
-	joinTime = hearTime
+	// defaultHearTime is Options.HearTime where heartbeats are a second apart.
+	defaultHearTime = 1500 * time.Millisecond
 	// maxStep is the longest time between two calls that counts as passed. After a
 	// longer one the process was frozen or its clock jumped, and another host may have
 	// become the owner of its teams.
@@ -34,10 +29,11 @@
 	// firstStartTime is the time after the first start of the system in which buckets
 	// start full: no host has spent anything before.
 	firstStartTime = 10 * time.Second
-	// candidateDelay is the time after its start in which a host owns only teams that
-	// another one has handed over to it. The others read its announcement within a second,
-	// hear it within another one, and hand teams over to it joinTime later.
-	candidateDelay = 4 * time.Second
+	// candidateDelay is the time, beyond Options.joinTime, after its start in which a host
+	// owns only teams that another one has handed over to it. The others read its
+	// announcement within a second, hear it within another one, and hand teams over to it
+	// after joinTime.
+	candidateDelay = 2500 * time.Millisecond
 	// startupTime is the time after its start in which a host takes the others as they
 	// are announced: it could not have heard them before.
 	startupTime = 3 * time.Second
@@ -152,8 +148,19 @@
 	StartedAt time.Time
 	// FirstStart says that all hosts start for the first time.
 	FirstStart bool
+	// HearTime is the silence up to which a host counts toward the limit that an owner
+	// grants. It must exceed the time between two heartbeats; zero means 1.5 s.
+	HearTime time.Duration
+	// RelayTime is the time that heartbeats take by way of other hosts after all hosts of a
+	// failure domain are cut off.
+	RelayTime time.Duration
 }
 
+// joinTime is the time for which a new owner does not refill, and for which a host that
+// was silent must be heard before it counts. A former owner on the other side of a cut
+// has stopped counting the hosts by then.
+func (o Options) joinTime() time.Duration { return o.HearTime + o.RelayTime }
+
 // Book holds what one host knows and grants. It is not safe for concurrent use. Update
 // must be called at least every 500 ms while the Book is used.
 type Book struct {
@@ -190,6 +197,9 @@
 
 // NewBook returns an empty book.
 func NewBook(opts Options) *Book {
+	if opts.HearTime <= 0 {
+		opts.HearTime = defaultHearTime
+	}
 	return &Book{opts: opts, known: 1, heard: 1, candidates: map[string]uint64{}, suspects: map[string]time.Time{}, answeredAt: map[string]time.Time{}, left: map[string]int64{},
 		owners: map[string]string{}, owned: map[string]*bucket{}, local: map[string]*bucket{}, credited: map[string]int64{}}
 }
@@ -228,13 +238,13 @@
 	first := b.lastNow.IsZero()
 	b.advance(now)
 	b.known, b.heard = 1+len(peers), 1
-	firstStart, starting := b.inFirstStart(), !b.frozen && b.clock-b.started < (startupTime+joinTime).Microseconds()
+	firstStart, starting := b.inFirstStart(), !b.frozen && b.clock-b.started < (startupTime+b.opts.joinTime()).Microseconds()
 	live := make(map[string]struct{}, len(peers)+1)
 	for _, p := range peers {
 		silence := now.Sub(p.HeardAt)
 		heardFromStart := starting && p.HeardSince.Sub(b.opts.StartedAt) < startupTime
-		joined := !p.HeardAt.IsZero() && (firstStart || heardFromStart || now.Sub(p.HeardSince) >= joinTime)
-		if joined && silence < hearTime {
+		joined := !p.HeardAt.IsZero() && (firstStart || heardFromStart || now.Sub(p.HeardSince) >= b.opts.joinTime())
+		if joined && silence < b.opts.HearTime {
 			b.heard++
 		}
 		if since, suspected := b.suspects[p.Host]; suspected && p.HeardAt.Sub(since) > suspectTime {
@@ -253,7 +263,7 @@
 			live[p.Host] = struct{}{}
 		}
 	}
-	if !b.leaving && (b.opts.FirstStart || b.frozen || b.clock-b.started >= candidateDelay.Microseconds()) {
+	if !b.leaving && (b.opts.FirstStart || b.frozen || b.clock-b.started >= (candidateDelay+b.opts.joinTime()).Microseconds()) {
 		live[b.opts.Host] = struct{}{}
 	}
 	b.setCandidates(live)
@@ -418,7 +428,7 @@
 			k = b.newBucket(team, limit, b.Share(), b.ownedSince(team))
 		} else {
 			// Another host takes this one for the owner.
-			k = &bucket{at: b.clock, readyAt: b.clock + joinTime.Microseconds(), createdAt: b.clock}
+			k = &bucket{at: b.clock, readyAt: b.clock + b.opts.joinTime().Microseconds(), createdAt: b.clock}
 		}
 		b.owned[team] = k
 	}
--- a/pkg/quotashare/quotashare_test.go
+++ b/pkg/quotashare/quotashare_test.go
@@ -262,3 +262,45 @@
 		t.Errorf("%.0f granted in %.1f s, at most %.0f allowed", granted, took, most)
 	}
 }
+
+// BenchmarkAnswer measures a question at its owner, from the datagram to the answer.
+func BenchmarkAnswer(b *testing.B) {
+	s := New(Options{Book: quota.Options{Host: "host-0", Bounds: quota.DefaultBounds(), StartedAt: time.Now().Add(-time.Minute)},
+		Send: func(string, []byte) bool { return true }, Heard: func(string) {}, Metrics: NewMetrics(), Log: logging.Discard(),
+		Peers: func() []quota.Peer { return nil }})
+	bytes := 0
+	for i := range b.N {
+		s.Receive(encode(question{Kind: kindAsk, Host: "front-1234", ID: uint64(i), Team: "team-12345", Rate: 1e6, Burst: 1e6, Tokens: 7000}), func(data []byte) { bytes += len(data) })
+		if i%1000 == 999 {
+			s.update(time.Now().Add(time.Duration(i) * time.Millisecond))
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/answer")
+	b.ReportMetric(float64(len(encode(question{Kind: kindAsk, Host: "front-1234", ID: 1 << 60, Team: "team-12345", Rate: 1e6, Burst: 1e6, Tokens: 7000}))), "bytes/question")
+}
+
+// BenchmarkUpdate measures the update of the book, four times a second, by the number of
+// hosts.
+func BenchmarkUpdate(b *testing.B) {
+	for _, hosts := range []int{6, 62, 300, 1500} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			now := time.Now()
+			book := quota.NewBook(quota.Options{Host: "host-0", Bounds: quota.DefaultBounds(), StartedAt: now.Add(-time.Minute)})
+			var peers []quota.Peer
+			for i := range hosts - 1 {
+				peers = append(peers, quota.Peer{Host: fmt.Sprintf("host-%d", i+1), Live: true})
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(250 * time.Millisecond)
+				for j := range peers {
+					peers[j].HeardAt, peers[j].HeardSince = now, now.Add(-time.Minute)
+				}
+				book.Update(now, peers)
+				if i%1000 == 0 {
+					book.Owner(fmt.Sprint(i))
+				}
+			}
+		})
+	}
+}
