pace: limit requests to endpoints that have just started or recovered

Cause: an endpoint that joins, restarts or returns from an ejection or a pause is used by all hosts at once, whatever its state; plain endpoints that announce a warm-up get a constant cost instead, which relies on the endpoint's own statement.

Change: pkg/pace keeps a window of requests of all hosts for each such endpoint. It grows with answers in the expected time and shrinks with late answers and refusals; a host uses its share, and hosts below one request take turns. The choice of engines and of plain endpoints leaves out endpoints with a full window, unless no other can take the request, most are limited, or an engine's request would be late. Hosts share answers and measured engine speeds in load reports that earlier versions ignore. Limits are logged and shown as metrics. The time factor of an engine may reach 0.4 to 4, and an engine that is slower than twice the expected time three times in a row is measured.

In the tests of the speed estimate, observe takes the time factor by pointer; what they check is unchanged.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -30,6 +30,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
@@ -121,6 +122,11 @@
 	OnSend func(service string, sent placement.SendReport)
 	// OnCached receives parts that an engine holds.
 	OnCached func(service, engine string, parts []placement.Part)
+	// OnPace receives what another host has learned of a limited endpoint, with the
+	// endpoint's start time in Unix milliseconds, OnSpeed what it has measured of an
+	// engine's speed.
+	OnPace  func(p pace.Report, startedMillis int64)
+	OnSpeed func(service string, s placement.SpeedReport)
 	// OnBlock receives an engine that takes no work for the time d.
 	OnBlock func(service, engine string, d time.Duration)
 	// OnEject receives an endpoint that another host has ejected; unreachable
@@ -250,6 +256,18 @@
 	return x.enqueueSend(r)
 }
 
+// ReportPace queues what this host has learned of a limited endpoint, which started at
+// startedMillis.
+func (x *Exchange) ReportPace(p pace.Report, startedMillis int64) {
+	x.enqueueSend(paceReport(p, startedMillis))
+}
+
+// ReportSpeed queues what this host has measured of an engine's speed.
+func (x *Exchange) ReportSpeed(service string, s placement.SpeedReport) {
+	x.enqueueSend(report{Service: service, Engine: s.EngineID, Phase: phaseSpeed,
+		Parts: []uint64{uint64(s.Samples), uint64(s.TimeFactor * scale)}})
+}
+
 // enqueueSend queues a report that goes through a relay if there is one. It returns
 // false if too many are queued.
 func (x *Exchange) enqueueSend(r report) bool {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -75,6 +75,18 @@
 // applyReports applies the reports of another host.
 func (x *Exchange) applyReports(host string, reports []report) {
 	for _, r := range reports {
+		switch r.Phase {
+		case phasePace:
+			if p, startedMillis, ok := r.pace(); ok {
+				x.opts.OnPace(p, startedMillis)
+			}
+			continue
+		case phaseSpeed:
+			if s, ok := r.speed(); ok {
+				x.opts.OnSpeed(r.Service, s)
+			}
+			continue
+		}
 		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
 			continue
 		}
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -1,6 +1,12 @@
 package loadshare
 
-import "github.com/clementineshed/clementineshed/pkg/placement"
+import (
+	"math"
+	"slices"
+
+	"github.com/clementineshed/clementineshed/pkg/pace"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+)
 
 // report is a placement.SendReport for a service, or the change of an engine's
 // state.
@@ -26,8 +32,41 @@
 	// phaseLeaving says that the endpoint, whose start time is the only entry of Parts,
 	// leaves. Earlier versions take it for a send without work.
 	phaseLeaving = 7
+	// phasePace holds what the sender has learned of a limited endpoint: Parts are its
+	// start time, the answers in time, the late ones, the refusals, the sender's window
+	// in thousandths and the reason. phaseSpeed holds the number of measurements of an
+	// engine's time factor and their mean in thousandths. Both have no Sizes, so that
+	// earlier versions ignore them.
+	phasePace  = 8
+	phaseSpeed = 9
 )
 
+// scale is the unit of fractions in reports.
+const scale = 1000
+
+// paceReport returns the report of what this host has learned of a limited endpoint.
+func paceReport(p pace.Report, startedMillis int64) report {
+	return report{Service: p.Service, Engine: p.ID, Phase: phasePace, Parts: []uint64{uint64(startedMillis),
+		uint64(p.Counts.Good), uint64(p.Counts.Late), uint64(p.Counts.Refused), uint64(p.Window * scale), uint64(p.Reason)}}
+}
+
+// pace returns the content of a report with phasePace, and the endpoint's start time.
+func (r report) pace() (pace.Report, int64, bool) {
+	if len(r.Parts) != 6 || slices.Max(r.Parts[1:]) > math.MaxInt32 || r.Parts[5] > math.MaxUint8 {
+		return pace.Report{}, 0, false
+	}
+	return pace.Report{Service: r.Service, ID: r.Engine, Reason: pace.Reason(r.Parts[5]), Window: float64(r.Parts[4]) / scale,
+		Counts: pace.Counts{Good: int(r.Parts[1]), Late: int(r.Parts[2]), Refused: int(r.Parts[3])}}, int64(r.Parts[0]), true
+}
+
+// speed returns the content of a report with phaseSpeed.
+func (r report) speed() (placement.SpeedReport, bool) {
+	if len(r.Parts) != 2 || r.Parts[0] == 0 || slices.Max(r.Parts) > math.MaxInt32 {
+		return placement.SpeedReport{}, false
+	}
+	return placement.SpeedReport{EngineID: r.Engine, Samples: int(r.Parts[0]), TimeFactor: float64(r.Parts[1]) / scale}, true
+}
+
 // setParts sets the parts that the engine holds once the report is applied.
 func (r *report) setParts(parts []placement.Part) {
 	for _, p := range parts {
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -75,18 +75,15 @@
 		return Choice{}, false
 	}
 	source, longest, pending := m.longestPrefix(job, health, now)
-	var best Choice
-	bestCost := time.Duration(-1)
-	for _, e := range candidates {
+	s := m.newSelection(candidates, now)
+	for i, e := range candidates {
 		c := m.prefillChoice(e, job, source, longest, now)
 		recomputed := max(0, pending-(job.PromptTokens-c.Uncached))
-		cost := c.Expected() + time.Duration(recomputeWeight*float64(m.speed.prefillTime(recomputed, e.timeFactor)))
+		cost := c.Expected() + time.Duration(recomputeWeight*float64(m.speed.prefillTime(recomputed, e.timeFactor.value)))
 		cost += tieBreak(job, e)
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = c, cost
-		}
+		s.add(i, c, cost)
 	}
-	return best, true
+	return s.choose(job, now)
 }
 
 // tieBreak returns a time below tieBreakRange that decides between equally good
@@ -120,7 +117,7 @@
 		cached = longest
 	}
 	c.Uncached = max(job.PromptTokens-cached, 1)
-	c.Work = c.Copying + m.speed.prefillTime(c.Uncached, e.timeFactor)
+	c.Work = c.Copying + m.speed.prefillTime(c.Uncached, e.timeFactor.value)
 	return c
 }
 
@@ -147,9 +144,9 @@
 func (m *Model) ChooseDecode(job Job, from fleet.Member, health Health, now time.Time) (Choice, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var best Choice
-	bestCost := time.Duration(-1)
-	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
+	candidates := m.candidates(endpoint.RoleDecode, job, health, now)
+	s := m.newSelection(candidates, now)
+	for i, e := range candidates {
 		c := Choice{Engine: e.member, Wait: max(0, e.linkFreeAt.Sub(now))}
 		far := from.Domain != e.member.Domain
 		c.Work = m.properties.copyTime(job.PromptTokens, far)
@@ -157,11 +154,9 @@
 		if far {
 			cost += crossDomainPenalty
 		}
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = c, cost
-		}
+		s.add(i, c, cost)
 	}
-	return best, bestCost >= 0
+	return s.choose(job, now)
 }
 
 // ChooseDecodeWithPrefill chooses a decode engine that also prefills the prompt,
@@ -169,19 +164,17 @@
 func (m *Model) ChooseDecodeWithPrefill(job Job, health Health, now time.Time) (Choice, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var best Choice
-	bestCost := time.Duration(-1)
-	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
+	candidates := m.candidates(endpoint.RoleDecode, job, health, now)
+	s := m.newSelection(candidates, now)
+	for i, e := range candidates {
 		_, own := e.cache.prefix(job.Parts, now)
 		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: e.wait(now), Latency: m.speed.latency}
 		// A decode engine prefills at half the speed because its streams
 		// continue.
-		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor)
-		if cost := c.Expected() + m.slotPenalty(e, now); bestCost < 0 || cost < bestCost {
-			best, bestCost = c, cost
-		}
+		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor.value)
+		s.add(i, c, c.Expected()+m.slotPenalty(e, now))
 	}
-	return best, bestCost >= 0
+	return s.choose(job, now)
 }
 
 // HeldWait returns the expected time until the held jobs of this host that are ahead
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 )
 
 const (
@@ -44,7 +45,7 @@
 	// linkFreeAt is when the transfers to the engine are expected to be done.
 	linkFreeAt time.Time
 	// timeFactor is the engine's prefill time relative to the fleet's mean.
-	timeFactor float64
+	timeFactor timeFactor
 	// blockedUntil is when the engine is expected to accept work again after it
 	// refused a request or was ordered to change its role.
 	blockedUntil time.Time
@@ -79,6 +80,8 @@
 type Model struct {
 	// Held holds the jobs that this host holds back.
 	Held HoldQueue
+	// limiter says which engines get no more requests; nil if none is limited.
+	limiter *pace.Limiter
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -128,7 +131,7 @@
 			e.blockedUntil = time.Time{}
 		}
 		if e == nil || e.member.StartedMillis != member.StartedMillis {
-			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: 1}
+			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: newTimeFactor()}
 		}
 		e.member = member
 		next[member.ID] = e
@@ -281,7 +284,7 @@
 // It must be called with mu held.
 func (m *Model) updateEstimates(e *engine, s *InFlightSend, now time.Time) {
 	if s.engineIdle {
-		e.timeFactor = m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, e.timeFactor)
+		m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, &e.timeFactor)
 	}
 	e.prefillFreeAt = e.prefillFreeAt.Add(time.Duration(queueCorrectionGain * float64(now.Sub(s.expectedAt))))
 }
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -7,13 +7,16 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 )
 
 const (
-	// These are the costs of an endpoint in another failure domain, of one that
-	// is warming up and of an ejected one, in requests in flight.
+	// These are the costs of an endpoint in another failure domain, of one whose
+	// window is full and of an ejected one, in requests in flight. The second is
+	// above the requests that an endpoint runs at once, so that such an endpoint
+	// gets requests that would otherwise wait.
 	crossDomainCost = 1.5
-	warmupCost      = 2
+	fullWindowCost  = 8
 	ejectedCost     = 1000
 )
 
@@ -22,6 +25,8 @@
 // preference for the host's failure domain. It is safe for concurrent use.
 type Balancer struct {
 	domain string
+	// limiter says which endpoints get no more requests; nil if none is limited.
+	limiter *pace.Limiter
 
 	mu       sync.Mutex
 	inFlight map[string]int // guarded by mu
@@ -33,6 +38,9 @@
 	return &Balancer{domain: domain, inFlight: map[string]int{}}
 }
 
+// SetLimiter sets the limiter. It must be called before the first Pick.
+func (b *Balancer) SetLimiter(l *pace.Limiter) { b.limiter = l }
+
 // Pick chooses one of the members and counts the request as in flight until
 // Done. Ejected members are chosen only if there is no other, paused ones never. It
 // returns false if no member can take the request.
@@ -40,6 +48,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.rotation++
+	full := b.fullWindows(members, exclude, health, now)
 	best, bestCost := -1, 0.0
 	for i := range members {
 		m := members[(i+b.rotation)%len(members)]
@@ -53,8 +62,8 @@
 		if health.Ejected(m, now) {
 			cost += ejectedCost
 		}
-		if m.WarmupRemaining > 0 {
-			cost += warmupCost
+		if full[m.ID] {
+			cost += fullWindowCost
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = (i+b.rotation)%len(members), cost
@@ -67,6 +76,27 @@
 	return members[best], true
 }
 
+// fullWindows returns the IDs of the endpoints that can take the request and are to get
+// no more. It must be called with mu held.
+func (b *Balancer) fullWindows(members []fleet.Member, exclude []string, health Health, now time.Time) map[string]bool {
+	if !b.limiter.Any() {
+		return nil
+	}
+	var ids []string
+	for _, m := range members {
+		if m.State == endpoint.StateLive && !slices.Contains(exclude, m.ID) && !health.Ejected(m, now) && !now.Before(health.PausedUntil(m)) {
+			ids = append(ids, m.ID)
+		}
+	}
+	out := map[string]bool{}
+	for i, full := range b.limiter.Full(len(ids), func(i int) (string, int) { return ids[i], b.inFlight[ids[i]] }, now) {
+		if full {
+			out[ids[i]] = true
+		}
+	}
+	return out
+}
+
 // AnyHealthy reports whether any of the members outside exclude can take a request
 // and is not ejected.
 func AnyHealthy(members []fleet.Member, exclude []string, health Health, now time.Time) bool {
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -355,15 +355,15 @@
 // although the engines are faster or slower.
 func TestSpeedIsLearned(t *testing.T) {
 	s := newPrefillSpeed()
-	factor := 1.0
+	factor := newTimeFactor()
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
 		tokens := 200 + rng.IntN(15_000)
-		factor = s.observe(tokens, 20*time.Millisecond+time.Duration(float64(tokens)/80_000*float64(time.Second)), factor)
+		s.observe(tokens, 20*time.Millisecond+time.Duration(float64(tokens)/80_000*float64(time.Second)), &factor)
 	}
 	for _, tokens := range []int{500, 15_000} {
 		want := 20*time.Millisecond + time.Duration(float64(tokens)/80_000*float64(time.Second))
-		got := s.latency + s.prefillTime(tokens, factor)
+		got := s.latency + s.prefillTime(tokens, factor.value)
 		if ratio := float64(got) / float64(want); ratio < 0.9 || ratio > 1.1 {
 			t.Errorf("%d tokens: estimated %v, want %v", tokens, got, want)
 		}
--- a/pkg/placement/speed_test.go
+++ b/pkg/placement/speed_test.go
@@ -10,8 +10,9 @@
 // later request was refused.
 func TestEqualPromptsAreServed(t *testing.T) {
 	s := newPrefillSpeed()
+	factor := newTimeFactor()
 	for range 4 * maxSamples {
-		s.observe(300, 45*time.Millisecond, 1)
+		s.observe(300, 45*time.Millisecond, &factor)
 	}
 	if got := s.latency + s.prefillTime(300, 1); got < 30*time.Millisecond || got > 60*time.Millisecond {
 		t.Errorf("estimated %v for prefills that took 45ms", got)
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -22,6 +22,9 @@
 	PromptTokens int
 	// Late is set when the request has missed its target or is expected to.
 	Late bool
+	// Due is when the phase that is chosen must be complete for the request to be in
+	// time; zero if that is not known.
+	Due time.Time
 	// Exclude lists the IDs of engines that have failed the request.
 	Exclude []string
 }
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -87,6 +87,7 @@
 		if r := g.h.quarantineRefusal(g.x); r != nil {
 			return nil, r
 		}
+		g.job.Due = g.due(time.Now())
 		choice, ok := g.model.ChoosePrefill(g.job, g.h.health(), time.Now())
 		if !ok {
 			return g.openWithoutPrefill()
@@ -148,6 +149,17 @@
 	return min(g.x.remaining(), g.callerTimeout()-time.Since(since))
 }
 
+// due returns when the prefill or the transfer to a decode engine must be complete for
+// the first event to meet the target or, if the target was missed or is not set, for
+// the caller to get it at all.
+func (g *generation) due(now time.Time) time.Time {
+	left := g.timeLeft()
+	if target := g.x.route.Target - g.x.elapsed(); target > 0 && g.progressAt.IsZero() {
+		left = min(left, target)
+	}
+	return now.Add(left - firstEventLatency)
+}
+
 // urgencyOf ranks the request among the routes of its service.
 func urgencyOf(x *exchange) placement.Urgency {
 	ranks, target := x.table.MoreUrgent(x.service, x.priority)
@@ -214,6 +226,7 @@
 	}
 	g.model.EndSend(inFlight, placement.Completed, done)
 	g.h.Outliers.Succeeded(c.Engine, done)
+	g.h.Pace.Answered(c.Engine.ID, now, c.Expected(), done)
 	g.h.Metrics.Prefill.Record(done.Sub(now))
 	return prefillHandle{id: id, member: c.Engine}, nil
 }
@@ -294,6 +307,7 @@
 		if r := g.h.quarantineRefusal(g.x); r != nil {
 			return nil, false, r
 		}
+		job.Due = g.due(time.Now())
 		choice, ok := g.model.ChooseDecode(job, from, g.h.health(), time.Now())
 		if !ok {
 			return nil, false, g.decodeRefusal(nil)
@@ -357,7 +371,11 @@
 		g.model.EndSend(inFlight, placement.Failed, time.Now())
 		return nil, err
 	}
-	return &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now}, nil
+	s := &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now}
+	if opts.Phase == PhaseDecode || c.Uncached > 0 {
+		s.expected = c.Expected() + firstEventLatency
+	}
+	return s, nil
 }
 
 // openWithoutPrefill asks a decode engine for the prefill as well, because no
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -9,6 +9,7 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
@@ -26,7 +27,9 @@
 	if header.Leaving && h.Fleet.MarkLeaving(m.ID, m.StartedMillis) {
 		h.OnLeaving(m)
 	}
-	if d := header.pause(status); d > 0 && h.Fleet.Pause(m, d, time.Now()) {
+	now := time.Now()
+	if d := header.pause(status); d > 0 && h.Fleet.Pause(m, d, now) {
+		h.Pace.Limit(placement.PaceEndpoint(m), pace.Paused, now)
 		h.Log.WithFields(log.Fields{"endpoint": m.ID, "service": m.Service, "pause_ms": d.Milliseconds()}).Info("endpoint_paused")
 	}
 }
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -112,7 +112,9 @@
 	if answer.Status >= 500 {
 		h.recordBadAnswer(m, answer)
 	} else {
-		h.Outliers.Succeeded(m, time.Now())
+		now := time.Now()
+		h.Outliers.Succeeded(m, now)
+		h.Pace.AnsweredTypical(m.Service, m.ID, sentAt, now)
 	}
 	return answer, body, nil
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
@@ -49,6 +50,8 @@
 	Models   *placement.Models
 	Balancer *placement.Balancer
 	Outliers *outlier.Tracker
+	// Pace limits the requests to endpoints that have just started or recovered.
+	Pace *pace.Limiter
 	// Guard refuses requests that crash endpoints.
 	Guard  *quarantine.Guard
 	Budget *retry.SharedBudget
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -8,6 +8,8 @@
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/pace"
+	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
@@ -51,6 +53,13 @@
 	return errors.As(err, &refused) || errors.As(err, &unsent)
 }
 
+// refusedItself reports whether err is the refusal of the endpoint that the request was
+// sent to. A 421 is the answer of another instance.
+func refusedItself(err error) bool {
+	var refused *notRunError
+	return errors.As(err, &refused) && refused.status != 421
+}
+
 // notSent reports whether err proves that the endpoint has not seen the request.
 func notSent(err error) bool {
 	var e *jsonhttp.NotSentError
@@ -160,6 +169,9 @@
 	case provesNotRun(err) || errors.Is(err, errUnattributed):
 		// An endpoint that is full or was ordered to stop taking work has not failed.
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalCooldown))
+		if refusedItself(err) {
+			h.Pace.Refused(m.ID, now)
+		}
 		return
 	}
 	if x.attempt.silenceRecorded {
@@ -172,12 +184,17 @@
 // recordFailure records a failure of the endpoint, and logs and reports an
 // ejection that follows from it.
 func (h *Handler) recordFailure(m fleet.Member, kind outlier.FailureKind, err error) {
-	verdict := h.Outliers.Failed(m, kind, time.Now())
+	now := time.Now()
+	verdict := h.Outliers.Failed(m, kind, now)
+	if kind == outlier.TimedOut {
+		h.Pace.TimedOut(m.ID, now)
+	}
 	if verdict.DomainEjected {
 		h.Log.WithField("domain", m.Domain).WithField("endpoint", m.ID).WithError(err).Warn("domain_ejected")
 	}
 	if verdict.Ejected {
 		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
+		h.Pace.Limit(placement.PaceEndpoint(m), pace.Ejected, now)
 		h.OnEjected(m, kind)
 	}
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -36,6 +36,8 @@
 	member   fleet.Member
 	inFlight *placement.InFlightSend
 	sentAt   time.Time
+	// expected is the expected time to the first event; zero if it is not known.
+	expected time.Duration
 	// firstEventAt is when the first complete event arrived, eventAt when the last one
 	// did.
 	firstEventAt, eventAt time.Time
@@ -109,6 +111,9 @@
 	s.eventAt = time.Now()
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt = s.eventAt
+		if s.expected > 0 {
+			s.g.h.Pace.Answered(s.member.ID, s.sentAt, s.expected, s.eventAt)
+		}
 	}
 	s.g.progressAt = s.eventAt
 	s.updateLastEventID(events)
--- a/pkg/relayhost/ejections.go
+++ b/pkg/relayhost/ejections.go
@@ -8,6 +8,8 @@
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/pace"
+	"github.com/clementineshed/clementineshed/pkg/placement"
 )
 
 // reportEjection reports this host's ejection of an endpoint to other hosts.
@@ -27,6 +29,7 @@
 	verdict := h.outliers.ApplyPeerEjection(member, kind, h.fleet.Members(member.Service), rand.Float64(), time.Now())
 	fields := log.Fields{"endpoint": endpoint, "service": member.Service, "domain": member.Domain, "by": host}
 	if verdict.Ejected {
+		h.pace.Limit(placement.PaceEndpoint(member), pace.Ejected, time.Now())
 		h.log.WithFields(fields).Info("endpoint_ejected_elsewhere")
 	}
 	if verdict.DomainEjected {
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -231,6 +231,7 @@
 	if change == fleet.Restarted {
 		h.forgetEndpoint(member.ID, member.Address)
 	}
+	h.limitStarted(member, change)
 	h.log.WithFields(log.Fields{"endpoint": member.ID, "service": member.Service, "change": string(change),
 		"state": string(member.State), "role": string(member.Role), "offset": r.Offset}).Info("endpoint_changed")
 	return true
@@ -240,6 +241,7 @@
 func (h *Host) endpointGone(id string) {
 	h.log.WithField("endpoint", id).WithField("change", string(fleet.Removed)).Info("endpoint_changed")
 	h.outliers.Forget(id)
+	h.pace.Forget(id, time.Now())
 }
 
 // forgetEndpoint drops the outlier state of an endpoint that has restarted, and
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -20,6 +20,7 @@
 	"github.com/clementineshed/clementineshed/pkg/loadshare"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/relay"
@@ -82,6 +83,7 @@
 	fleet    *fleet.Registry
 	models   *placement.Models
 	outliers *outlier.Tracker
+	pace     *pace.Limiter
 	guard    *quarantine.Guard
 	stored   storedEvidence
 	// evidenceWake starts the next round of runEvidence.
@@ -111,15 +113,18 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
+	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), pace: pace.NewLimiter(settings.Host),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
+	h.models = placement.NewModels(h.pace)
+	balancer := placement.NewBalancer(settings.Domain)
+	balancer.SetLimiter(h.pace)
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
-		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
+		Balancer: balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
@@ -190,7 +195,7 @@
 	defer func() { _ = peerConn.Close() }()
 	h.exchange = loadshare.New(loadshare.Options{
 		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
-		OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving,
+		OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving, OnPace: h.applyPeerPace, OnSpeed: h.applyPeerSpeed,
 		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage,
 		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
 	})
@@ -206,6 +211,7 @@
 	wg.Go(func() { h.duties.run(workCtx) })
 	wg.Go(func() { h.runHousekeeping(workCtx) })
 	wg.Go(func() { h.runEvidence(workCtx) })
+	wg.Go(func() { h.runPace(workCtx) })
 	wg.Go(func() { h.recoverCaches(workCtx) })
 	wg.Go(func() { h.serveReady(ready) })
 	if metrics != nil {
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -58,6 +58,11 @@
 	line("caller_connections_closed_idle", h.conns.ClosedIdle.Value())
 	line("requests_read_in_close", h.conns.ReadInClose.Value())
 	line("connections_dialed", h.client.Dials())
+	for _, s := range h.pace.Limited() {
+		line(fmt.Sprintf("endpoint_window{endpoint=%q,service=%q,reason=%q}", s.ID, s.Service, s.Reason.String()), s.Window)
+	}
+	line("choices_limited", h.pace.Passed.Load())
+	line("choices_beyond_limit", h.pace.Beyond.Load())
 	line("ready", boolNumber(h.ready()))
 	if table, err := h.routes.Current(); err == nil {
 		line("configuration_version", table.Version())
