--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -60,6 +60,8 @@
 type simulatedEngine struct {
 	free  time.Time
 	ready map[uint64]time.Time
+	// slowness returns the time of a prefill relative to the usual one; nil for 1.
+	slowness func(at time.Time) float64
 }
 
 // workload generates a seeded series of prompts: long ones that each share a
@@ -196,7 +198,11 @@
 			tokens += p.Tokens
 		}
 	}
-	e.free = begin.Add(copySetupTime + time.Duration(float64(tokens)/engineSpeed*float64(time.Second)))
+	slowness := 1.0
+	if e.slowness != nil {
+		slowness = e.slowness(begin)
+	}
+	e.free = begin.Add(copySetupTime + time.Duration(slowness*float64(tokens)/engineSpeed*float64(time.Second)))
 	for _, p := range j.Parts {
 		if _, known := e.ready[p.ID]; !known {
 			e.ready[p.ID] = e.free
