placement: decode engines are chosen by their speed

Cause: ChooseDecode knew links and slots only. Change: the model keeps the time per output token of each engine, from complete streams of all hosts (a report of its own in the load reports), and adds the expected time to decode the output, and what it takes from the streams there, to the cost of an engine.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -119,6 +119,8 @@
 	LinkBytesPerSecond float64
 	// OnSend receives the sends of other hosts to engines.
 	OnSend func(service string, sent placement.SendReport)
+	// OnDecoded receives the durations of streams of other hosts.
+	OnDecoded func(service string, sample placement.DecodeSample)
 	// OnCached receives parts that an engine holds.
 	OnCached func(service, engine string, parts []placement.Part)
 	// OnBlock receives an engine that takes no work for the time d.
@@ -242,6 +244,11 @@
 	x.enqueueSend(r)
 }
 
+// ReportDecode queues the report of a complete stream.
+func (x *Exchange) ReportDecode(service string, sample placement.DecodeSample) {
+	x.enqueueSend(decodedReport(service, sample))
+}
+
 // ReportCached queues the report that an engine holds parts. It returns false if too
 // many reports are queued; the caller may try again later.
 func (x *Exchange) ReportCached(service, engine string, parts []placement.Part) bool {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -90,6 +90,11 @@
 				x.opts.OnLeaving(r.Engine, host, int64(r.Parts[0]))
 			}
 			continue
+		case phaseDecoded:
+			if sample, ok := r.decodeSample(); ok {
+				x.opts.OnDecoded(r.Service, sample)
+			}
+			continue
 		case phaseCached:
 			x.opts.OnCached(r.Service, r.Engine, r.parts())
 			continue
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -1,6 +1,10 @@
 package loadshare
 
-import "github.com/clementineshed/clementineshed/pkg/placement"
+import (
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/placement"
+)
 
 // report is a placement.SendReport for a service, or the change of an engine's
 // state.
@@ -26,6 +30,9 @@
 	// phaseLeaving says that the endpoint, whose start time is the only entry of Parts,
 	// leaves. Earlier versions take it for a send without work.
 	phaseLeaving = 7
+	// phaseDecoded tells the duration of a stream, see decodedReport. Earlier versions
+	// take it for a send without work.
+	phaseDecoded = 12
 )
 
 // setParts sets the parts that the engine holds once the report is applied.
@@ -44,3 +51,25 @@
 	}
 	return parts
 }
+
+// decodedReport returns the report of a stream. Its Parts hold the duration in
+// microseconds and the number of streams at the engine, the first of its Sizes the
+// output in tokens.
+func decodedReport(service string, s placement.DecodeSample) report {
+	return report{Service: service, Engine: s.EngineID, Phase: phaseDecoded, Parts: []uint64{uint64(s.Took.Microseconds()), uint64(s.Streams)}, Sizes: []int{s.Tokens, 0}}
+}
+
+// decodeSample returns the stream of a report of phaseDecoded, and false if the report
+// has another form.
+func (r report) decodeSample() (placement.DecodeSample, bool) {
+	if len(r.Parts) != 2 || r.Parts[0] > uint64(maxReportedStream.Microseconds()) || r.Parts[1] > maxReportedStreams {
+		return placement.DecodeSample{}, false
+	}
+	return placement.DecodeSample{EngineID: r.Engine, Tokens: r.Sizes[0], Streams: int(r.Parts[1]), Took: time.Duration(r.Parts[0]) * time.Microsecond}, true
+}
+
+// These bounds keep the conversion of a malformed report from overflowing.
+const (
+	maxReportedStream  = time.Hour
+	maxReportedStreams = 1 << 20
+)
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -153,7 +153,7 @@
 		c := Choice{Engine: e.member, Wait: max(0, e.linkFreeAt.Sub(now))}
 		far := from.Domain != e.member.Domain
 		c.Work = m.properties.copyTime(job.PromptTokens, far)
-		cost := c.Expected() + m.slotPenalty(e, now)
+		cost := c.Expected() + m.slotPenalty(e, now) + m.decodeCost(e, job, now)
 		if far {
 			cost += crossDomainPenalty
 		}
@@ -177,7 +177,7 @@
 		// A decode engine prefills at half the speed because its streams
 		// continue.
 		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor)
-		if cost := c.Expected() + m.slotPenalty(e, now); bestCost < 0 || cost < bestCost {
+		if cost := c.Expected() + m.slotPenalty(e, now) + m.decodeCost(e, job, now); bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
--- /dev/null
+++ b/pkg/placement/decodespeed_test.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
+)
+
+// decodeReplay plays streams at engines that differ in speed by 0.6, 1.0 and 1.6 and
+// that all take 1.6 times longer per token with all slots taken. Two hosts choose by
+// turns; every second stream is seen by the other host only by its report. It returns
+// the share of the streams that end within limit, without the first second.
+func decodeReplay(t *testing.T, outputKnown bool, limit time.Duration) float64 {
+	t.Helper()
+	const (
+		engines  = 24
+		perToken = 9 * time.Millisecond
+		slots    = 64
+		rate     = 140.0 // streams a second
+		length   = 12 * time.Second
+	)
+	rng := rand.New(rand.NewPCG(1, 7))
+	members := replayFleet(0, engines)
+	speed := map[string]float64{}
+	for i, m := range members {
+		speed[m.ID] = []float64{0.6, 1.0, 1.6}[i%3]
+	}
+	hosts := []*Model{replayModel(members), replayModel(members)}
+	running := map[string]int{}
+	type stream struct {
+		end    time.Time
+		host   int
+		send   *InFlightSend
+		id     string
+		tokens int
+		took   time.Duration
+	}
+	var open []stream
+	onTime, all := 0, 0
+	for now := replayStart; now.Before(replayStart.Add(length)); now = now.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second))) {
+		kept := open[:0]
+		for _, s := range open {
+			if s.end.After(now) {
+				kept = append(kept, s)
+				continue
+			}
+			running[s.id]--
+			if sample, ok := hosts[s.host].ObserveDecode(s.send, s.tokens, s.end); ok {
+				hosts[1-s.host].ApplyPeerDecode(sample, s.end)
+			}
+			hosts[s.host].EndSend(s.send, Completed, s.end)
+			if s.end.After(replayStart.Add(time.Second)) {
+				all++
+				if s.took <= limit {
+					onTime++
+				}
+			}
+		}
+		open = kept
+		tokens := int(min(600, 20+rng.ExpFloat64()*150))
+		job := Job{Parts: []Part{{ID: rng.Uint64(), Tokens: 1500}}, PromptTokens: 1500}
+		if outputKnown {
+			job.OutputTokens = tokens
+		}
+		host := rng.IntN(2)
+		c, ok := hosts[host].ChooseDecode(job, members[0], noneEjected{}, now)
+		if !ok {
+			t.Fatal("no engine was chosen")
+		}
+		send, report := hosts[host].BeginSend(endpoint.RoleDecode, job, c, now)
+		hosts[1-host].ApplyPeerSend(report, now)
+		running[c.Engine.ID]++
+		took := time.Duration(float64(tokens) * float64(perToken) * speed[c.Engine.ID] * (1 + 1.6*float64(running[c.Engine.ID])/slots))
+		open = append(open, stream{end: now.Add(took), host: host, send: send, id: c.Engine.ID, tokens: tokens, took: took})
+	}
+	return float64(onTime) / float64(all)
+}
+
+// Guards against long outputs that miss their deadline at slow engines because the
+// choice does not know the engines' speeds. The deadline is one and a half times what an
+// idle engine of mean speed needs for the longest output, so that each output could be
+// in time.
+func TestLongOutputsGoToFastEngines(t *testing.T) {
+	const (
+		deadline = 8100 * time.Millisecond
+		target   = 0.999
+	)
+	without, with := decodeReplay(t, false, deadline), decodeReplay(t, true, deadline)
+	t.Logf("within %s: %.4f without the speeds, %.4f with them", deadline, without, with)
+	if with < target {
+		t.Errorf("%.4f of the streams end in time, want %.3f", with, target)
+	}
+	if without >= target {
+		t.Errorf("%.4f of the streams end in time without the speeds: the replay shows nothing", without)
+	}
+}
+
+// Guards against an engine that is avoided for ever after a pause, which no stream could
+// then correct.
+func TestDecodeMeanReturnsToThatOfAll(t *testing.T) {
+	s := decodeSpeed{fleet: decodeMean{perToken: 0.01, streams: 4, samples: 100}}
+	e := &engine{decode: decodeMean{perToken: 0.03, streams: 4, samples: 5, at: replayStart}}
+	if got := s.meanAt(e, replayStart).perToken; got != 0.03 {
+		t.Errorf("%.4f s a token at the last stream, want 0.03", got)
+	}
+	if got := s.meanAt(e, replayStart.Add(5*decodeLife)).perToken; got > 0.011 {
+		t.Errorf("%.4f s a token long after the last stream, want about 0.01", got)
+	}
+}
+
+// Guards against samples of another host that would spoil the estimates.
+func TestImpossibleDecodeSamplesAreIgnored(t *testing.T) {
+	members := replayFleet(0, 1)
+	m := replayModel(members)
+	for _, s := range []DecodeSample{
+		{EngineID: "unknown", Tokens: 100, Streams: 1, Took: time.Second},
+		{EngineID: members[0].ID, Tokens: 0, Streams: 1, Took: time.Second},
+		{EngineID: members[0].ID, Tokens: 100, Streams: 0, Took: time.Second},
+		{EngineID: members[0].ID, Tokens: 100, Streams: 1},
+	} {
+		m.ApplyPeerDecode(s, replayStart)
+	}
+	if n := m.decodeSpeed.fleet.samples; n != 0 {
+		t.Errorf("%d samples were taken", n)
+	}
+}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -54,6 +54,8 @@
 	// peerStreamEnds holds the estimated ends of those of other hosts.
 	ownStreams     int
 	peerStreamEnds []time.Time
+	// decode is the smoothed speed of the engine's streams.
+	decode decodeMean
 }
 
 // InFlightSend identifies a send of this host that is in flight.
@@ -72,6 +74,8 @@
 	// addedParts are the IDs of the parts that are cached only because of this
 	// send.
 	addedParts []uint64
+	// streams is the number of streams at the engine when the send began, for a decode.
+	streams int
 }
 
 // Model holds the estimated state of the engines of one service. It is safe for
@@ -82,9 +86,10 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	engines    map[string]*engine
-	properties EngineProperties
-	speed      prefillSpeed
+	engines     map[string]*engine
+	properties  EngineProperties
+	speed       prefillSpeed
+	decodeSpeed decodeSpeed
 	// order lists the engines in the order given to SetFleet, by ID, so that
 	// all hosts break ties alike.
 	order []*engine
@@ -188,6 +193,7 @@
 	e.inFlight[s] = struct{}{}
 	if role == endpoint.RoleDecode {
 		e.ownStreams++
+		s.streams = e.activeStreams(now)
 	}
 	return s, report
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -20,6 +20,8 @@
 	// request.
 	Parts        []Part
 	PromptTokens int
+	// OutputTokens is the limit of the output; zero if it is not known.
+	OutputTokens int
 	// Late is set when the request has missed its target or is expected to.
 	Late bool
 	// Exclude lists the IDs of engines that have failed the request.
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -68,7 +68,7 @@
 func (h *Handler) generate(x *exchange, model *placement.Model) *refusal.Refusal {
 	p := x.call.Prompt
 	g := &generation{h: h, x: x, model: model, lastDelivered: x.call.LastEventID,
-		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens}}
+		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputTokens: p.MaxOutput}}
 	defer func() { model.Held.Release(g.held) }()
 	stream, r := g.open()
 	if r != nil {
@@ -357,7 +357,7 @@
 		g.model.EndSend(inFlight, placement.Failed, time.Now())
 		return nil, err
 	}
-	return &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now}, nil
+	return &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now, resumed: g.lastDelivered != ""}, nil
 }
 
 // openWithoutPrefill asks a decode engine for the prefill as well, because no
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -65,6 +65,9 @@
 	OnLeaving func(m fleet.Member)
 	// OnSent is called for each send of model work, to report it to the other hosts.
 	OnSent func(service string, sent placement.SendReport)
+	// OnDecoded is called for each complete stream that tells of its engine's speed, to
+	// report it to the other hosts.
+	OnDecoded func(service string, sample placement.DecodeSample)
 	// OnRun is called for each request of a team that an endpoint began to run.
 	OnRun   func(team string)
 	Metrics *Metrics
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -45,6 +45,9 @@
 	searched    int
 	lastEventID string
 	closed      bool
+	// resumed says that the stream continues an earlier one, so that its length is not
+	// that of the output.
+	resumed bool
 }
 
 // next returns the complete events that have arrived, and io.EOF after the last
@@ -132,7 +135,13 @@
 	}
 	s.closed = true
 	s.answer.Close()
-	s.g.model.EndSend(s.inFlight, outcome, time.Now())
+	now := time.Now()
+	if outcome == placement.Completed && !s.resumed {
+		if sample, ok := s.g.model.ObserveDecode(s.inFlight, s.g.job.OutputTokens, now); ok {
+			s.g.h.OnDecoded(s.g.x.service, sample)
+		}
+	}
+	s.g.model.EndSend(s.inFlight, outcome, now)
 }
 
 // forwardStream passes the stream on to the caller. The head is sent only with the
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -121,7 +121,7 @@
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
-		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
+		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.followers = map[string]*keyedlog.Follower{
@@ -165,6 +165,10 @@
 	h.exchange.ReportSend(service, sent)
 }
 
+func (h *Host) reportDecode(service string, sample placement.DecodeSample) {
+	h.exchange.ReportDecode(service, sample)
+}
+
 // countRequest counts a request that an endpoint has begun to run.
 func (h *Host) countRequest(team string) { h.duties.counter.Add(team, usage.Counts{Requests: 1}) }
 
@@ -190,7 +194,7 @@
 	defer func() { _ = peerConn.Close() }()
 	h.exchange = loadshare.New(loadshare.Options{
 		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
-		OnSend: h.applyPeerSend, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving,
+		OnSend: h.applyPeerSend, OnDecoded: h.applyPeerDecode, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving,
 		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage,
 		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
 	})
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -106,6 +106,11 @@
 	}
 }
 
+// applyPeerDecode passes another host's stream to the service's placement model.
+func (h *Host) applyPeerDecode(service string, sample placement.DecodeSample) {
+	h.models.For(service).ApplyPeerDecode(sample, time.Now())
+}
+
 // applyPeerSend adds another host's send to the service's placement model.
 func (h *Host) applyPeerSend(service string, sent placement.SendReport) {
 	h.models.For(service).ApplyPeerSend(sent, time.Now())
