placement: measure decode engines by their events

Change: the speed is the time per event after the first one; the expected output is the mean number of events by limit.

--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -1,6 +1,8 @@
 package loadshare
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/clementineshed/clementineshed/pkg/placement"
@@ -53,23 +55,18 @@
 }
 
 // decodedReport returns the report of a stream. Its Parts hold the duration in
-// microseconds and the number of streams at the engine, the first of its Sizes the
-// output in tokens.
+// microseconds, the number of streams at the engine, of events and the limit of the output.
 func decodedReport(service string, s placement.DecodeSample) report {
-	return report{Service: service, Engine: s.EngineID, Phase: phaseDecoded, Parts: []uint64{uint64(s.Took.Microseconds()), uint64(s.Streams)}, Sizes: []int{s.Tokens, 0}}
+	return report{Service: service, Engine: s.EngineID, Phase: phaseDecoded,
+		Parts: []uint64{uint64(s.Took.Microseconds()), uint64(s.Streams), uint64(s.Events), uint64(s.OutputLimit)}, Sizes: make([]int, 4)}
 }
 
 // decodeSample returns the stream of a report of phaseDecoded, and false if the report
 // has another form.
 func (r report) decodeSample() (placement.DecodeSample, bool) {
-	if len(r.Parts) != 2 || r.Parts[0] > uint64(maxReportedStream.Microseconds()) || r.Parts[1] > maxReportedStreams {
+	if len(r.Parts) != 4 || slices.Max(r.Parts) > math.MaxInt32 {
 		return placement.DecodeSample{}, false
 	}
-	return placement.DecodeSample{EngineID: r.Engine, Tokens: r.Sizes[0], Streams: int(r.Parts[1]), Took: time.Duration(r.Parts[0]) * time.Microsecond}, true
+	return placement.DecodeSample{EngineID: r.Engine, Took: time.Duration(r.Parts[0]) * time.Microsecond,
+		Streams: int(r.Parts[1]), Events: int(r.Parts[2]), OutputLimit: int(r.Parts[3])}, true
 }
-
-// These bounds keep the conversion of a malformed report from overflowing.
-const (
-	maxReportedStream  = time.Hour
-	maxReportedStreams = 1 << 20
-)
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -153,7 +153,9 @@
 		c := Choice{Engine: e.member, Wait: max(0, e.linkFreeAt.Sub(now))}
 		far := from.Domain != e.member.Domain
 		c.Work = m.properties.copyTime(job.PromptTokens, far)
-		cost := c.Expected() + m.slotPenalty(e, now) + m.decodeCost(e, job, now)
+		var delay time.Duration
+		c.Decoding, delay = m.decodeTime(e, job, now)
+		cost := c.Expected() + m.slotPenalty(e, now) + c.Decoding + delay
 		if far {
 			cost += crossDomainPenalty
 		}
@@ -177,7 +179,9 @@
 		// A decode engine prefills at half the speed because its streams
 		// continue.
 		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor)
-		if cost := c.Expected() + m.slotPenalty(e, now) + m.decodeCost(e, job, now); bestCost < 0 || cost < bestCost {
+		var delay time.Duration
+		c.Decoding, delay = m.decodeTime(e, job, now)
+		if cost := c.Expected() + m.slotPenalty(e, now) + c.Decoding + delay; bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -101,7 +101,7 @@
 
 // NewModel returns a model without engines.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), streamTime: defaultStreamTime}
+	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), decodeSpeed: decodeSpeed{outputs: map[int]float64{}}, streamTime: defaultStreamTime}
 }
 
 // SetEngineProperties sets the declared properties of the engines. A CacheTokens
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -20,8 +20,8 @@
 	// request.
 	Parts        []Part
 	PromptTokens int
-	// OutputTokens is the limit of the output; zero if it is not known.
-	OutputTokens int
+	// OutputLimit is the limit of the output in tokens; zero if there is none.
+	OutputLimit int
 	// Late is set when the request has missed its target or is expected to.
 	Late bool
 	// Exclude lists the IDs of engines that have failed the request.
@@ -47,6 +47,8 @@
 	// Latency is the additional time that the phase takes without occupying the
 	// engine.
 	Latency time.Duration
+	// Decoding is the expected time of the output; zero if it is not known.
+	Decoding time.Duration
 }
 
 // Expected returns the expected time until the phase completes.
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -68,7 +68,7 @@
 func (h *Handler) generate(x *exchange, model *placement.Model) *refusal.Refusal {
 	p := x.call.Prompt
 	g := &generation{h: h, x: x, model: model, lastDelivered: x.call.LastEventID,
-		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputTokens: p.MaxOutput}}
+		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputLimit: p.MaxOutput}}
 	defer func() { model.Held.Release(g.held) }()
 	stream, r := g.open()
 	if r != nil {
@@ -344,7 +344,7 @@
 	inFlight, sent := g.model.BeginSend(endpoint.RoleDecode, g.job, c, now)
 	g.h.OnSent(g.x.service, sent)
 	opts.HasPriority, opts.Priority, opts.LastEventID = true, g.priority(), g.lastDelivered
-	g.x.logFields["decode_at"] = c.Engine.ID
+	g.x.logFields["decode_at"], g.x.logFields["decode_expected_ms"] = c.Engine.ID, c.Decoding.Milliseconds()
 	var limit headLimit
 	if g.x.route.MayRepeat() && g.x.attempts+1 < g.x.route.MaxAttempts {
 		limit = headLimit{c.Expected() + stallTimeout, g.silentDecode(c.Engine, g.x.attempts+1)}
@@ -357,7 +357,7 @@
 		g.model.EndSend(inFlight, placement.Failed, time.Now())
 		return nil, err
 	}
-	return &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now, resumed: g.lastDelivered != ""}, nil
+	return &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now}, nil
 }
 
 // openWithoutPrefill asks a decode engine for the prefill as well, because no
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -45,9 +45,9 @@
 	searched    int
 	lastEventID string
 	closed      bool
-	// resumed says that the stream continues an earlier one, so that its length is not
-	// that of the output.
-	resumed bool
+	// events counts the events that have arrived, firstEvents those that arrived first,
+	// together.
+	events, firstEvents int
 }
 
 // next returns the complete events that have arrived, and io.EOF after the last
@@ -110,8 +110,9 @@
 	events := s.pending[:end+len(eventEnd)]
 	s.pending = append(make([]byte, 0, eventBufferBytes), s.pending[end+len(eventEnd):]...)
 	s.eventAt = time.Now()
+	s.events += bytes.Count(events, eventEnd)
 	if s.firstEventAt.IsZero() {
-		s.firstEventAt = s.eventAt
+		s.firstEventAt, s.firstEvents = s.eventAt, s.events
 	}
 	s.g.progressAt = s.eventAt
 	s.updateLastEventID(events)
@@ -136,8 +137,9 @@
 	s.closed = true
 	s.answer.Close()
 	now := time.Now()
-	if outcome == placement.Completed && !s.resumed {
-		if sample, ok := s.g.model.ObserveDecode(s.inFlight, s.g.job.OutputTokens, now); ok {
+	if outcome == placement.Completed {
+		sample, ok := s.g.model.ObserveDecode(s.inFlight, s.g.job.OutputLimit, s.events-s.firstEvents, s.eventAt.Sub(s.firstEventAt), now)
+		if ok {
 			s.g.h.OnDecoded(s.g.x.service, sample)
 		}
 	}
