--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
@@ -39,6 +40,9 @@
 	// earlier versions ignore them.
 	phasePace  = 8
 	phaseSpeed = 9
+	// phaseDecoded tells the duration of a stream, see decodedReport. Earlier versions
+	// take it for a send without work.
+	phaseDecoded = 12
 )
 
 // scale is the unit of fractions in reports.
@@ -83,3 +87,20 @@
 	}
 	return parts
 }
+
+// decodedReport returns the report of a stream. Its Parts hold the duration in
+// microseconds, the number of streams at the engine, of events and the limit of the output.
+func decodedReport(service string, s placement.DecodeSample) report {
+	return report{Service: service, Engine: s.EngineID, Phase: phaseDecoded,
+		Parts: []uint64{uint64(s.Took.Microseconds()), uint64(s.Streams), uint64(s.Events), uint64(s.OutputLimit)}, Sizes: make([]int, 4)}
+}
+
+// decodeSample returns the stream of a report of phaseDecoded, and false if the report
+// has another form.
+func (r report) decodeSample() (placement.DecodeSample, bool) {
+	if len(r.Parts) != 4 || slices.Max(r.Parts) > math.MaxInt32 {
+		return placement.DecodeSample{}, false
+	}
+	return placement.DecodeSample{EngineID: r.Engine, Took: time.Duration(r.Parts[0]) * time.Microsecond,
+		Streams: int(r.Parts[1]), Events: int(r.Parts[2]), OutputLimit: int(r.Parts[3])}, true
+}
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -150,7 +150,9 @@
 		c := Choice{Engine: e.member, Wait: max(0, e.linkFreeAt.Sub(now))}
 		far := from.Domain != e.member.Domain
 		c.Work = m.properties.copyTime(job.PromptTokens, far)
-		cost := c.Expected() + m.slotPenalty(e, now)
+		var delay time.Duration
+		c.Decoding, delay = m.decodeTime(e, job, now)
+		cost := c.Expected() + m.slotPenalty(e, now) + c.Decoding + delay
 		if far {
 			cost += crossDomainPenalty
 		}
@@ -172,7 +174,9 @@
 		// A decode engine prefills at half the speed because its streams
 		// continue.
 		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor.value)
-		s.add(i, c, c.Expected()+m.slotPenalty(e, now))
+		var delay time.Duration
+		c.Decoding, delay = m.decodeTime(e, job, now)
+		s.add(i, c, c.Expected()+m.slotPenalty(e, now)+c.Decoding+delay)
 	}
 	return s.choose(job, now)
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -20,6 +20,8 @@
 	// request.
 	Parts        []Part
 	PromptTokens int
+	// OutputLimit is the limit of the output in tokens; zero if there is none.
+	OutputLimit int
 	// Late is set when the request has missed its target or is expected to.
 	Late bool
 	// Due is when the phase that is chosen must be complete for the request to be in
@@ -48,6 +50,8 @@
 	// Latency is the additional time that the phase takes without occupying the
 	// engine.
 	Latency time.Duration
+	// Decoding is the expected time of the output; zero if it is not known.
+	Decoding time.Duration
 }
 
 // Expected returns the expected time until the phase completes.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -47,6 +47,9 @@
 	searched    int
 	lastEventID string
 	closed      bool
+	// events counts the events that have arrived, firstEvents those that arrived first,
+	// together.
+	events, firstEvents int
 }
 
 // next returns the complete events that have arrived, and io.EOF after the last
@@ -109,8 +112,9 @@
 	events := s.pending[:end+len(eventEnd)]
 	s.pending = append(make([]byte, 0, eventBufferBytes), s.pending[end+len(eventEnd):]...)
 	s.eventAt = time.Now()
+	s.events += bytes.Count(events, eventEnd)
 	if s.firstEventAt.IsZero() {
-		s.firstEventAt = s.eventAt
+		s.firstEventAt, s.firstEvents = s.eventAt, s.events
 		if s.expected > 0 {
 			s.g.h.Pace.Answered(s.member.ID, s.sentAt, s.expected, s.eventAt)
 		}
@@ -137,7 +141,14 @@
 	}
 	s.closed = true
 	s.answer.Close()
-	s.g.model.EndSend(s.inFlight, outcome, time.Now())
+	now := time.Now()
+	if outcome == placement.Completed {
+		sample, ok := s.g.model.ObserveDecode(s.inFlight, s.g.job.OutputLimit, s.events-s.firstEvents, s.eventAt.Sub(s.firstEventAt), now)
+		if ok {
+			s.g.h.OnDecoded(s.g.x.service, sample)
+		}
+	}
+	s.g.model.EndSend(s.inFlight, outcome, now)
 }
 
 // forwardStream passes the stream on to the caller. The head is sent only with the
