placement, loadshare: hosts learn the time of prefills together

Each of 67 hosts fits the time from its own prefills at idle engines, two or three a second, and uses the defaults until it has sixteen. Change: each host reports the last of these prefills every 100 ms at most; all use them in their fits.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -122,6 +122,8 @@
 	OnSend func(service string, sent placement.SendReport)
 	// OnDecoded receives the durations of streams of other hosts.
 	OnDecoded func(service string, sample placement.DecodeSample)
+	// OnPrefilled receives the times of prefills that other hosts have measured.
+	OnPrefilled func(service string, sample placement.PrefillSample)
 	// OnCached receives parts that an engine holds.
 	OnCached func(service, engine string, parts []placement.Part)
 	// OnPace receives what another host has learned of a limited endpoint, with the
@@ -269,6 +271,11 @@
 	x.enqueueSend(paceReport(p, startedMillis))
 }
 
+// ReportPrefill queues the time of a prefill at an idle engine.
+func (x *Exchange) ReportPrefill(service string, s placement.PrefillSample) {
+	x.enqueueSend(report{Service: service, Phase: phasePrefilled, Parts: []uint64{uint64(s.Tokens), uint64(s.Took.Microseconds())}})
+}
+
 // ReportSpeed queues what this host has measured of an engine's speed.
 func (x *Exchange) ReportSpeed(service string, s placement.SpeedReport) {
 	x.enqueueSend(report{Service: service, Engine: s.EngineID, Phase: phaseSpeed,
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -81,6 +81,11 @@
 				x.opts.OnPace(p, startedMillis)
 			}
 			continue
+		case phasePrefilled:
+			if sample, ok := r.prefillSample(); ok {
+				x.opts.OnPrefilled(r.Service, sample)
+			}
+			continue
 		case phaseSpeed:
 			if s, ok := r.speed(); ok {
 				x.opts.OnSpeed(r.Service, s)
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -43,6 +43,9 @@
 	// phaseDecoded tells the duration of a stream, see decodedReport. Earlier versions
 	// take it for a send without work.
 	phaseDecoded = 12
+	// phasePrefilled tells the time of a prefill at an idle engine: Parts are its tokens
+	// and its time in microseconds. It has no Sizes, so that earlier versions ignore it.
+	phasePrefilled = 13
 )
 
 // scale is the unit of fractions in reports.
@@ -104,3 +107,11 @@
 	return placement.DecodeSample{EngineID: r.Engine, Took: time.Duration(r.Parts[0]) * time.Microsecond,
 		Streams: int(r.Parts[1]), Events: int(r.Parts[2]), OutputLimit: int(r.Parts[3])}, true
 }
+
+// prefillSample returns the content of a report with phasePrefilled.
+func (r report) prefillSample() (placement.PrefillSample, bool) {
+	if len(r.Parts) != 2 || slices.Max(r.Parts) > math.MaxInt32 {
+		return placement.PrefillSample{}, false
+	}
+	return placement.PrefillSample{Tokens: int(r.Parts[0]), Took: time.Duration(r.Parts[1]) * time.Microsecond}, true
+}
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// TakePrefillSample returns the last prefill that this host has measured since the last
+// call, for the other hosts.
+//
+// Load pattern: dozens of hosts that each see two or three prefills a second, most of
+// them at engines that are busy. A host alone needs ten seconds and more for its first
+// fit, in which it takes prefills to be half as long as they are.
+func (m *Model) TakePrefillSample() (PrefillSample, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sample := m.speed.unreported
+	m.speed.unreported = PrefillSample{}
+	return sample, sample.Tokens > 0
+}
+
+// ApplyPeerPrefill adds a prefill that another host has measured.
+func (m *Model) ApplyPeerPrefill(sample PrefillSample) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if sample.Tokens > 0 && sample.Took > 0 && sample.Took <= maxQueueWait {
+		m.speed.add(float64(sample.Tokens), sample.Took.Seconds())
+	}
+}
+
 // prefillSpeed estimates how long prefills take: a latency, during which the
 // engine can run other prefills, and a time proportional to the uncached
 // tokens. It is fitted to the prefills that found an idle engine. It is not
@@ -108,6 +131,15 @@
 	sizes, times []float64
 	// sinceFit counts the samples since the last fit.
 	nextSample, sinceFit int
+	// unreported is the last sample of this host that TakePrefillSample has not
+	// returned; its Tokens are zero if there is none.
+	unreported PrefillSample
+}
+
+// PrefillSample is the time of a prefill at an idle engine.
+type PrefillSample struct {
+	Tokens int
+	Took   time.Duration
 }
 
 func newPrefillSpeed() prefillSpeed {
@@ -131,6 +163,7 @@
 	}
 	factor.unusual = 0
 	s.add(float64(tokens), took.Seconds())
+	s.unreported = PrefillSample{tokens, took}
 	if tokens >= minTimeFactorTokens {
 		measured := (took - s.latency).Seconds() / s.prefillTime(tokens, 1).Seconds()
 		measured = min(max(measured, minTimeFactor), maxTimeFactor)
--- a/pkg/relayhost/pace.go
+++ b/pkg/relayhost/pace.go
@@ -68,6 +68,7 @@
 				}
 			}
 			h.logLimits()
+			h.reportPrefills()
 			if now.Sub(speedsAt) >= speedInterval {
 				speedsAt = now
 				h.reportSpeeds()
@@ -92,6 +93,27 @@
 	}
 }
 
+// reportPrefills reports the last prefill of each service, so that the hosts learn
+// together how long prefills take.
+func (h *Host) reportPrefills() {
+	table, err := h.routes.Current()
+	if err != nil {
+		return
+	}
+	for _, s := range table.Services() {
+		if s.Engine == nil {
+			continue
+		}
+		if sample, ok := h.models.For(s.Name).TakePrefillSample(); ok {
+			h.exchange.ReportPrefill(s.Name, sample)
+		}
+	}
+}
+
+func (h *Host) applyPeerPrefill(service string, sample placement.PrefillSample) {
+	h.models.For(service).ApplyPeerPrefill(sample)
+}
+
 func (h *Host) logLimits() {
 	for _, t := range h.pace.TakeTransitions() {
 		fields := log.Fields{"endpoint": t.ID, "service": t.Service, "reason": t.Reason.String()}
