--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -30,6 +30,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
@@ -122,8 +123,17 @@
 	LinkBytesPerSecond float64
 	// OnSend receives the sends of other hosts to engines.
 	OnSend func(service string, sent placement.SendReport)
+	// OnDecoded receives the durations of streams of other hosts.
+	OnDecoded func(service string, sample placement.DecodeSample)
+	// OnPrefilled receives the times of prefills that other hosts have measured.
+	OnPrefilled func(service string, sample placement.PrefillSample)
 	// OnCached receives parts that an engine holds.
 	OnCached func(service, engine string, parts []placement.Part)
+	// OnPace receives what another host has learned of a limited endpoint, with the
+	// endpoint's start time in Unix milliseconds, OnSpeed what it has measured of an
+	// engine's speed.
+	OnPace  func(p pace.Report, startedMillis int64)
+	OnSpeed func(service string, s placement.SpeedReport)
 	// OnBlock receives an engine that takes no work for the time d.
 	OnBlock func(service, engine string, d time.Duration)
 	// OnEject receives an endpoint that another host has ejected; unreachable
@@ -251,6 +261,11 @@
 	x.enqueueSend(r)
 }
 
+// ReportDecode queues the report of a complete stream.
+func (x *Exchange) ReportDecode(service string, sample placement.DecodeSample) {
+	x.enqueueSend(decodedReport(service, sample))
+}
+
 // ReportCached queues the report that an engine holds parts. It returns false if too
 // many reports are queued; the caller may try again later.
 func (x *Exchange) ReportCached(service, engine string, parts []placement.Part) bool {
@@ -259,6 +274,23 @@
 	return x.enqueueSend(r)
 }
 
+// ReportPace queues what this host has learned of a limited endpoint, which started at
+// startedMillis.
+func (x *Exchange) ReportPace(p pace.Report, startedMillis int64) {
+	x.enqueueSend(paceReport(p, startedMillis))
+}
+
+// ReportPrefill queues the time of a prefill at an idle engine.
+func (x *Exchange) ReportPrefill(service string, s placement.PrefillSample) {
+	x.enqueueSend(report{Service: service, Phase: phasePrefilled, Parts: []uint64{uint64(s.Tokens), uint64(s.Took.Microseconds())}})
+}
+
+// ReportSpeed queues what this host has measured of an engine's speed.
+func (x *Exchange) ReportSpeed(service string, s placement.SpeedReport) {
+	x.enqueueSend(report{Service: service, Engine: s.EngineID, Phase: phaseSpeed,
+		Parts: []uint64{uint64(s.Samples), uint64(s.TimeFactor * scale)}})
+}
+
 // enqueueSend queues a report that goes through a relay if there is one. It returns
 // false if too many are queued.
 func (x *Exchange) enqueueSend(r report) bool {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -80,6 +80,23 @@
 // applyReports applies the reports of another host.
 func (x *Exchange) applyReports(host string, reports []report) {
 	for _, r := range reports {
+		switch r.Phase {
+		case phasePace:
+			if p, startedMillis, ok := r.pace(); ok {
+				x.opts.OnPace(p, startedMillis)
+			}
+			continue
+		case phasePrefilled:
+			if sample, ok := r.prefillSample(); ok {
+				x.opts.OnPrefilled(r.Service, sample)
+			}
+			continue
+		case phaseSpeed:
+			if s, ok := r.speed(); ok {
+				x.opts.OnSpeed(r.Service, s)
+			}
+			continue
+		}
 		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
 			continue
 		}
@@ -95,6 +112,11 @@
 				x.opts.OnLeaving(r.Engine, host, int64(r.Parts[0]))
 			}
 			continue
+		case phaseDecoded:
+			if sample, ok := r.decodeSample(); ok {
+				x.opts.OnDecoded(r.Service, sample)
+			}
+			continue
 		case phaseCached:
 			x.opts.OnCached(r.Service, r.Engine, r.parts())
 			continue
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 )
 
 const (
@@ -44,7 +45,7 @@
 	// linkFreeAt is when the transfers to the engine are expected to be done.
 	linkFreeAt time.Time
 	// timeFactor is the engine's prefill time relative to the fleet's mean.
-	timeFactor float64
+	timeFactor timeFactor
 	// blockedUntil is when the engine is expected to accept work again after it
 	// refused a request or was ordered to change its role.
 	blockedUntil time.Time
@@ -54,6 +55,8 @@
 	// peerStreamEnds holds the estimated ends of those of other hosts.
 	ownStreams     int
 	peerStreamEnds []time.Time
+	// decode is the smoothed speed of the engine's streams.
+	decode decodeMean
 }
 
 // InFlightSend identifies a send of this host that is in flight.
@@ -72,6 +75,8 @@
 	// addedParts are the IDs of the parts that are cached only because of this
 	// send.
 	addedParts []uint64
+	// streams is the number of streams at the engine when the send began, for a decode.
+	streams int
 }
 
 // Model holds the estimated state of the engines of one service. It is safe for
@@ -79,12 +84,15 @@
 type Model struct {
 	// Held holds the jobs that this host holds back.
 	Held HoldQueue
+	// limiter says which engines get no more requests; nil if none is limited.
+	limiter *pace.Limiter
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	engines    map[string]*engine
-	properties EngineProperties
-	speed      prefillSpeed
+	engines     map[string]*engine
+	properties  EngineProperties
+	speed       prefillSpeed
+	decodeSpeed decodeSpeed
 	// order lists the engines in the order given to SetFleet, by ID, so that
 	// all hosts break ties alike.
 	order []*engine
@@ -96,7 +104,7 @@
 
 // NewModel returns a model without engines.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), streamTime: defaultStreamTime}
+	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), decodeSpeed: decodeSpeed{outputs: map[int]float64{}}, streamTime: defaultStreamTime}
 }
 
 // SetEngineProperties sets the declared properties of the engines. A CacheTokens
@@ -128,7 +136,7 @@
 			e.blockedUntil = time.Time{}
 		}
 		if e == nil || e.member.StartedMillis != member.StartedMillis {
-			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: 1}
+			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: newTimeFactor()}
 		}
 		e.member = member
 		next[member.ID] = e
@@ -188,6 +196,7 @@
 	e.inFlight[s] = struct{}{}
 	if role == endpoint.RoleDecode {
 		e.ownStreams++
+		s.streams = e.activeStreams(now)
 	}
 	return s, report
 }
@@ -281,7 +290,7 @@
 // It must be called with mu held.
 func (m *Model) updateEstimates(e *engine, s *InFlightSend, now time.Time) {
 	if s.engineIdle {
-		e.timeFactor = m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, e.timeFactor)
+		m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, &e.timeFactor)
 	}
 	e.prefillFreeAt = e.prefillFreeAt.Add(time.Duration(queueCorrectionGain * float64(now.Sub(s.expectedAt))))
 }
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -60,6 +60,8 @@
 type simulatedEngine struct {
 	free  time.Time
 	ready map[uint64]time.Time
+	// slowness returns the time of a prefill relative to the usual one; nil for 1.
+	slowness func(at time.Time) float64
 }
 
 // workload generates a seeded series of prompts: long ones that each share a
@@ -196,7 +198,11 @@
 			tokens += p.Tokens
 		}
 	}
-	e.free = begin.Add(copySetupTime + time.Duration(float64(tokens)/engineSpeed*float64(time.Second)))
+	slowness := 1.0
+	if e.slowness != nil {
+		slowness = e.slowness(begin)
+	}
+	e.free = begin.Add(copySetupTime + time.Duration(slowness*float64(tokens)/engineSpeed*float64(time.Second)))
 	for _, p := range j.Parts {
 		if _, known := e.ready[p.ID]; !known {
 			e.ready[p.ID] = e.free
@@ -355,15 +361,15 @@
 // although the engines are faster or slower.
 func TestSpeedIsLearned(t *testing.T) {
 	s := newPrefillSpeed()
-	factor := 1.0
+	factor := newTimeFactor()
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
 		tokens := 200 + rng.IntN(15_000)
-		factor = s.observe(tokens, 20*time.Millisecond+time.Duration(float64(tokens)/80_000*float64(time.Second)), factor)
+		s.observe(tokens, 20*time.Millisecond+time.Duration(float64(tokens)/80_000*float64(time.Second)), &factor)
 	}
 	for _, tokens := range []int{500, 15_000} {
 		want := 20*time.Millisecond + time.Duration(float64(tokens)/80_000*float64(time.Second))
-		got := s.latency + s.prefillTime(tokens, factor)
+		got := s.latency + s.prefillTime(tokens, factor.value)
 		if ratio := float64(got) / float64(want); ratio < 0.9 || ratio > 1.1 {
 			t.Errorf("%d tokens: estimated %v, want %v", tokens, got, want)
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/quotashare"
@@ -50,6 +51,8 @@
 	Models   *placement.Models
 	Balancer *placement.Balancer
 	Outliers *outlier.Tracker
+	// Pace limits the requests to endpoints that have just started or recovered.
+	Pace *pace.Limiter
 	// Guard refuses requests that crash endpoints.
 	Guard  *quarantine.Guard
 	Budget *retry.SharedBudget
@@ -68,6 +71,9 @@
 	OnLeaving func(m fleet.Member)
 	// OnSent is called for each send of model work, to report it to the other hosts.
 	OnSent func(service string, sent placement.SendReport)
+	// OnDecoded is called for each complete stream that tells of its engine's speed, to
+	// report it to the other hosts.
+	OnDecoded func(service string, sample placement.DecodeSample)
 	// OnRun is called for each request of a team that an endpoint began to run.
 	OnRun   func(team string)
 	Metrics *Metrics
