placement: plain services by expected completion time

Cause: the choice of a plain endpoint knew only this host's requests in flight. With 65 hosts each sees none or one, so that the only endpoint of a failure domain got the whole load of the domain, whatever its speed and the state of the others.

Change: hosts report their sends to plain endpoints like those to engines, with the expected service time and up to four times of answers. The Balancer adds up queue or last delays, service time and the cost of another domain in time. A random part that grows with the requests that are not known yet keeps many hosts from choosing the same endpoint. In a service with few requests the own domain comes first, as before. Metrics plain_requests_running and plain_service_seconds, log field expected_ms.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -117,7 +117,7 @@
 	Conn net.PacketConn
 	// LinkBytesPerSecond is the rate of this host's link; zero if it is not known.
 	LinkBytesPerSecond float64
-	// OnSend receives the sends of other hosts to engines.
+	// OnSend receives the sends of other hosts to engines and plain endpoints.
 	OnSend func(service string, sent placement.SendReport)
 	// OnCached receives parts that an engine holds.
 	OnCached func(service, engine string, parts []placement.Part)
@@ -232,11 +232,15 @@
 	return 1 + len(x.peers)
 }
 
-// ReportSend queues the report of a send to an engine.
+// ReportSend queues the report of a send to an engine or a plain endpoint.
 func (x *Exchange) ReportSend(service string, sent placement.SendReport) {
 	r := report{Service: service, Engine: sent.EngineID, Phase: phasePrefill, WorkMicros: sent.WorkMicros}
-	if sent.Role == endpoint.RoleDecode {
+	switch sent.Role {
+	case endpoint.RoleDecode:
 		r.Phase = phaseDecode
+	case "":
+		r.Phase = phasePlain
+		r.setAnswers(sent.Answers)
 	}
 	r.setParts(sent.Parts)
 	x.enqueueSend(r)
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// TestPlainSendArrives guards against a send to a plain service that is taken for one to
+// an engine, and against answers that are altered in transit.
+func TestPlainSendArrives(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	connect(t, map[string]*node{"a": a, "b": b})
+	sent := placement.SendReport{EngineID: "p1", WorkMicros: 40_000, Answers: []placement.AnswerTime{{EndpointHash: 1<<64 - 1, Micros: 1}, {EndpointHash: 2, Micros: 20_000_000}}}
+	a.exchange.ReportSend("desk", sent)
+	eventually(t, "the send", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.sends) == 1
+	})
+	if !reflect.DeepEqual(b.sends[0], sent) {
+		t.Errorf("received %+v", b.sends[0])
+	}
+}
+
 // TestBadDatagrams guards against a malformed datagram that stops the receiver,
 // and against reports of unknown hosts that are applied.
 func TestBadDatagrams(t *testing.T) {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -93,6 +93,9 @@
 		case phaseCached:
 			x.opts.OnCached(r.Service, r.Engine, r.parts())
 			continue
+		case phasePlain:
+			x.opts.OnSend(r.Service, placement.SendReport{EngineID: r.Engine, WorkMicros: r.WorkMicros, Answers: r.answers()})
+			continue
 		}
 		sent := placement.SendReport{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Parts: r.parts()}
 		if r.Phase == phaseDecode {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -50,13 +50,24 @@
 // Expected returns the expected time until the phase completes.
 func (c Choice) Expected() time.Duration { return c.Wait + c.Work + c.Latency }
 
-// SendReport reports one request that this or another host sent to an engine.
+// SendReport reports one request that this or another host sent to an engine, or to
+// an endpoint of a plain service, which has no role.
 type SendReport struct {
 	EngineID string
 	Role     endpoint.Role
 	// WorkMicros is the time for which the send is expected to occupy the
-	// engine, or its link for a decode, in microseconds.
+	// engine, or its link for a decode, or a slot of a plain endpoint, in microseconds.
 	WorkMicros int64
 	// Parts are the parts that the engine holds once the work is done.
 	Parts []Part
+	// Answers are the last answers of plain endpoints to the sender, which had a free
+	// slot for the request.
+	Answers []AnswerTime
+}
+
+// AnswerTime is the time in which a plain endpoint answered. EndpointHash is the hash
+// of its ID.
+type AnswerTime struct {
+	EndpointHash uint64
+	Micros       int64
 }
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -35,12 +35,16 @@
 		if r := h.quarantineRefusal(x); r != nil {
 			return r
 		}
-		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), time.Now())
+		sentAt := time.Now()
+		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), sentAt)
 		if !ok {
 			return h.noEndpointRefusal(x, lastErr)
 		}
+		sent := h.Balancer.Report(member)
+		h.OnSent(x.service, sent)
+		x.logFields["expected_ms"] = sent.WorkMicros / 1000
 		answer, body, err := h.sendPlain(x, member, tried)
-		h.Balancer.Done(member.ID)
+		h.Balancer.Done(member, sentAt, err == nil && answer.Status < 500, time.Now())
 		if err == nil && !h.isRetryableAnswer(x, answer) {
 			x.logFields["endpoint"] = member.ID
 			x.respond(answer, body)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -63,7 +63,7 @@
 	// OnLeaving is called for each endpoint that Fleet has marked as leaving because
 	// of its answer.
 	OnLeaving func(m fleet.Member)
-	// OnSent is called for each send of model work, to report it to the other hosts.
+	// OnSent is called for each send, to report it to the other hosts.
 	OnSent func(service string, sent placement.SendReport)
 	// OnRun is called for each request of a team that an endpoint began to run.
 	OnRun   func(team string)
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -81,6 +81,7 @@
 	routes   routes.Holder
 	fleet    *fleet.Registry
 	models   *placement.Models
+	balancer *placement.Balancer
 	outliers *outlier.Tracker
 	guard    *quarantine.Guard
 	stored   storedEvidence
@@ -111,7 +112,7 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
+	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(), balancer: placement.NewBalancer(settings.Domain),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
@@ -119,7 +120,7 @@
 	})
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
-		Balancer: placement.NewBalancer(settings.Domain), Outliers: h.outliers, Guard: h.guard,
+		Balancer: h.balancer, Outliers: h.outliers, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.knownHosts), Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -54,6 +54,10 @@
 	line("requests_in_flight", h.handler.InFlight())
 	line("hosts_heard", h.liveHosts())
 	line("endpoints_known", h.fleet.Len())
+	for _, l := range h.balancer.Loads(time.Now()) {
+		line("plain_requests_running{endpoint="+strconv.Quote(l.Endpoint)+"}", l.Running)
+		line("plain_service_seconds{endpoint="+strconv.Quote(l.Endpoint)+"}", l.ServiceTime.Seconds())
+	}
 	line("caller_connections", h.conns.Open())
 	line("caller_connections_closed_idle", h.conns.ClosedIdle.Value())
 	line("requests_read_in_close", h.conns.ReadInClose.Value())
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -106,8 +106,15 @@
 	}
 }
 
-// applyPeerSend adds another host's send to the service's placement model.
+// applyPeerSend adds another host's send to the service's placement model, or to the
+// load of a plain endpoint.
 func (h *Host) applyPeerSend(service string, sent placement.SendReport) {
+	if sent.Role == "" {
+		if m, found := h.fleet.Find(sent.EngineID); found && m.Service == service {
+			h.balancer.ApplyPeerSend(m, sent, time.Now())
+		}
+		return
+	}
 	h.models.For(service).ApplyPeerSend(sent, time.Now())
 }
 
