outlier: refused connections that two hosts report count for all

Cause: ejections that other hosts report are applied for about a third of a service's endpoints. After a crash of more of them each host found the rest by requests of its own. A request that broke off with the crash counted as one bad answer, which ejects nothing.

Change: a refused or reset new connection is a kind of failure of its own (refused). Reports name the kind. If two hosts, this one included, found it within 1.2 s, the ejection is applied as long as another live endpoint remains. A broken request whose endpoint then refuses a new connection counts as refused as well. Logs and metrics name the kind.

Tests changed: TestReportsArrive checks the kind instead of the former flag, for one more kind.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -30,6 +30,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
@@ -123,9 +124,9 @@
 	OnCached func(service, engine string, parts []placement.Part)
 	// OnBlock receives an engine that takes no work for the time d.
 	OnBlock func(service, engine string, d time.Duration)
-	// OnEject receives an endpoint that another host has ejected; unreachable
-	// says that the host could not reach it.
-	OnEject func(endpoint, host string, unreachable bool)
+	// OnEject receives an endpoint that another host has ejected, or has found to be
+	// gone, by a failure of the kind.
+	OnEject func(endpoint, host string, kind outlier.FailureKind)
 	// OnCrash receives the requests that ran at a crash of an endpoint, OnRefuted the
 	// features of requests that have completed.
 	OnCrash   func(quarantine.Evidence)
@@ -276,11 +277,11 @@
 	x.enqueue(report{Service: service, Engine: engine, Phase: phaseBlocked, WorkMicros: d.Microseconds()})
 }
 
-// ReportEjection queues the report that this host has ejected an endpoint.
-// unreachable says that this host could not reach it.
-func (x *Exchange) ReportEjection(service, endpoint string, unreachable bool) {
-	r := report{Service: service, Engine: endpoint, Phase: phaseEjected}
-	if unreachable {
+// ReportEjection queues the report that this host has ejected an endpoint, or has found
+// an ejected one to be gone, by a failure of the kind.
+func (x *Exchange) ReportEjection(service, endpoint string, kind outlier.FailureKind) {
+	r := report{Service: service, Engine: endpoint, Phase: phaseEjected, Parts: []uint64{uint64(kind)}, Sizes: []int{0}}
+	if kind == outlier.Unreachable || kind == outlier.Refused {
 		r.Phase = phaseEjectedUnreachable
 	}
 	x.enqueue(r)
--- a/pkg/loadshare/loadshare_test.go
+++ b/pkg/loadshare/loadshare_test.go
@@ -14,6 +14,7 @@
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/logging"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -56,8 +57,8 @@
 			n.record(func() { n.sends = append(n.sends, placement.SendReport{EngineID: "cached " + engine, Parts: parts}) })
 		},
 		OnBlock: func(_, engine string, d time.Duration) { n.record(func() { n.blocked[engine] = d }) },
-		OnEject: func(endpoint, host string, unreachable bool) {
-			n.record(func() { n.ejected = append(n.ejected, fmt.Sprintf("%s of %s, %t", endpoint, host, unreachable)) })
+		OnEject: func(endpoint, host string, kind outlier.FailureKind) {
+			n.record(func() { n.ejected = append(n.ejected, fmt.Sprintf("%s of %s, %v", endpoint, host, kind)) })
 		},
 		OnCrash:   func(e quarantine.Evidence) { n.record(func() { n.crashes = append(n.crashes, e) }) },
 		OnRefuted: func(f []quarantine.Feature) { n.record(func() { n.refuted = append(n.refuted, f...) }) },
@@ -126,15 +127,16 @@
 	sent := placement.SendReport{EngineID: "e1", Role: endpoint.RoleDecode, WorkMicros: 1500, Parts: []placement.Part{{ID: 1 << 63, Tokens: 600}, {ID: 2, Tokens: 300}}}
 	a.exchange.ReportSend("llm", sent)
 	a.exchange.ReportBlock("llm", "e2", 3*time.Second)
-	a.exchange.ReportEjection("llm", "e3", true)
-	a.exchange.ReportEjection("llm", "e4", false)
+	a.exchange.ReportEjection("llm", "e3", outlier.Unreachable)
+	a.exchange.ReportEjection("llm", "e4", outlier.BadAnswer)
+	a.exchange.ReportEjection("llm", "e5", outlier.Refused)
 	if err := a.exchange.ForwardUsage([]string{"b"}, 2, []usage.Flush{{Incarnation: "a/1", Window: 5, Sequence: 2, Teams: map[string]usage.Counts{"acme": {Requests: 3}}}}); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "all reports", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && slices.Equal(b.ejected, []string{"e3 of a, true", "e4 of a, false"}) && b.progress["t"].Next == 7 && b.progress["t"].AgeMillis == 900
+		return len(b.sends) == 1 && len(b.flushes) == 1 && b.blocked["e2"] == 3*time.Second && slices.Equal(b.ejected, []string{"e3 of a, unreachable", "e4 of a, bad_answer", "e5 of a, refused"}) && b.progress["t"].Next == 7 && b.progress["t"].AgeMillis == 900
 	})
 	if !reflect.DeepEqual(b.sends[0], sent) || b.flushes[0].Teams["acme"].Requests != 3 {
 		t.Errorf("received send %+v and flush %+v", b.sends[0], b.flushes[0])
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -83,7 +83,7 @@
 			x.opts.OnBlock(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
 		case phaseEjected, phaseEjectedUnreachable:
-			x.opts.OnEject(r.Engine, host, r.Phase == phaseEjectedUnreachable)
+			x.opts.OnEject(r.Engine, host, r.failureKind())
 			continue
 		case phaseLeaving:
 			if len(r.Parts) == 1 {
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -1,6 +1,9 @@
 package loadshare
 
-import "github.com/clementineshed/clementineshed/pkg/placement"
+import (
+	"github.com/clementineshed/clementineshed/pkg/outlier"
+	"github.com/clementineshed/clementineshed/pkg/placement"
+)
 
 // report is a placement.SendReport for a service, or the change of an endpoint's
 // state.
@@ -17,11 +20,14 @@
 }
 
 const (
-	phasePrefill            = 1 // a send for prefill
-	phaseDecode             = 2 // a send for decode
-	phaseBlocked            = 3 // the engine takes no work for WorkMicros
-	phaseEjected            = 4 // the sender has ejected the endpoint
-	phaseEjectedUnreachable = 5 // the sender has ejected the endpoint and could not reach it
+	phasePrefill = 1 // a send for prefill
+	phaseDecode  = 2 // a send for decode
+	phaseBlocked = 3 // the engine takes no work for WorkMicros
+	// phaseEjected and phaseEjectedUnreachable say that the sender has ejected the
+	// endpoint, and whether it could not reach it. The only entry of Parts is the
+	// outlier.FailureKind; earlier versions send none.
+	phaseEjected            = 4
+	phaseEjectedUnreachable = 5
 	phaseCached             = 6 // the engine holds the parts
 	// phaseLeaving says that the endpoint, whose start time is the only entry of Parts,
 	// leaves. Earlier versions take it for a send without work.
@@ -32,6 +38,17 @@
 	phasePlain = 8
 )
 
+// failureKind returns the kind of failure of a report of an ejection.
+func (r report) failureKind() outlier.FailureKind {
+	if len(r.Parts) == 1 && r.Parts[0] <= uint64(outlier.Refused) {
+		return outlier.FailureKind(r.Parts[0])
+	}
+	if r.Phase == phaseEjectedUnreachable {
+		return outlier.Unreachable
+	}
+	return outlier.BadAnswer
+}
+
 // setAnswers sets the answers of plain endpoints.
 func (r *report) setAnswers(answers []placement.AnswerTime) {
 	for _, a := range answers {
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -15,7 +15,9 @@
 // host applies to all (ApplyPeerEjection). A host that is cut off ejects
 // endpoints that the others reach. Reported ejections are therefore ignored once
 // a share of the service's endpoints is ejected, and for an endpoint that has
-// just answered this host.
+// just answered this host. A refused connection is an answer of the endpoint's machine,
+// whatever the link: reports of two hosts that the process is gone are applied as
+// long as another endpoint remains.
 //
 // A host that is cut off from a failure domain would time out on each of its
 // endpoints in turn. Several unreachable endpoints without an answer from the
@@ -23,9 +25,11 @@
 package outlier
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 )
 
@@ -55,22 +59,46 @@
 	// peerEjectionMargin extends an ejection that another host reports. That
 	// host retries the endpoint first and reports if it still fails.
 	peerEjectionMargin = 400 * time.Millisecond
+	// minRefusingHosts is how many hosts, this one included, must have found within
+	// refusedMaxAge that an endpoint refuses connections, for its ejection to be
+	// applied whatever share of the service is ejected.
+	minRefusingHosts = 2
+	refusedMaxAge    = 1200 * time.Millisecond
+	// refusedReportInterval is the least time between two reports that an ejected
+	// endpoint refuses connections.
+	refusedReportInterval = 500 * time.Millisecond
 )
 
-// FailureKind is the kind of a failure.
+// FailureKind is the kind of a failure. Hosts of other versions receive the values.
 type FailureKind int
 
 const (
 	// BadAnswer means that the endpoint answered with a failure or broke off its
 	// answer.
-	BadAnswer FailureKind = iota
+	BadAnswer FailureKind = 0
 	// TimedOut means that the endpoint was reached but did not answer in time.
 	// It may only be slow.
-	TimedOut
+	TimedOut FailureKind = 1
 	// Unreachable means that the endpoint could not be reached.
-	Unreachable
+	Unreachable FailureKind = 2
+	// Refused means that the endpoint's machine refused or reset a new connection: the
+	// process is gone.
+	Refused FailureKind = 3
 )
 
+// String returns the name of the kind for logs and metrics.
+func (k FailureKind) String() string {
+	switch k {
+	case TimedOut:
+		return "timed_out"
+	case Unreachable:
+		return "unreachable"
+	case Refused:
+		return "refused"
+	}
+	return "bad_answer"
+}
+
 // record is what is known about one endpoint. samples and failures are counts
 // of answers, decayed by sampleDecay. ejections is the number of ejections
 // since the last reset.
@@ -79,6 +107,11 @@
 	ejections              int
 	ejectedUntil, failedAt time.Time
 	succeededAt            time.Time
+	// refusedBy holds when each host last found that the endpoint refuses connections,
+	// since the last answer to this host. This host has the empty name. reportedAt is
+	// when this host last had to report that.
+	refusedBy  map[string]time.Time
+	reportedAt time.Time
 }
 
 // Tracker decides which endpoints are ejected. It is safe for concurrent use.
@@ -102,7 +135,7 @@
 	defer t.mu.Unlock()
 	t.domain(m.Domain).recordAnswer(now)
 	r := t.record(m.ID)
-	r.succeededAt = now
+	r.succeededAt, r.refusedBy = now, nil
 	r.samples = r.samples*sampleDecay + 1
 	r.failures *= sampleDecay
 	if now.Sub(r.failedAt) > resetAfter {
@@ -135,16 +168,47 @@
 	// Ejected says that the endpoint was ejected by it, DomainEjected that the
 	// endpoint's failure domain was.
 	Ejected, DomainEjected bool
+	// Reportable says that the other hosts are to be told of the failure, because it
+	// ejected the endpoint or is further evidence that its process is gone.
+	Reportable bool
+	// Confirmed says that the endpoint was ejected although many of the service are,
+	// because several hosts found that its process is gone.
+	Confirmed bool
 }
 
 // Failed records a failure of a request of this host.
 func (t *Tracker) Failed(m fleet.Member, kind FailureKind, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Verdict{
+	v := Verdict{
 		Ejected:       t.recordFailure(m.ID, kind, now),
 		DomainEjected: kind != BadAnswer && t.domain(m.Domain).recordUnreachable(m.ID, true, now),
 	}
+	r := t.record(m.ID)
+	v.Reportable = v.Ejected
+	if kind == Refused {
+		r.recordRefused("", now)
+		v.Reportable = v.Ejected || now.Sub(r.reportedAt) >= refusedReportInterval
+	}
+	if v.Reportable {
+		r.reportedAt = now
+	}
+	return v
+}
+
+// recordRefused records that a host found that the endpoint refuses connections, and
+// reports whether enough hosts have.
+func (r *record) recordRefused(host string, now time.Time) bool {
+	if r.refusedBy == nil {
+		r.refusedBy = map[string]time.Time{}
+	}
+	r.refusedBy[host] = now
+	for other, at := range r.refusedBy {
+		if now.Sub(at) > refusedMaxAge {
+			delete(r.refusedBy, other)
+		}
+	}
+	return len(r.refusedBy) >= minRefusingHosts
 }
 
 // recordFailure adds a failure and reports whether it ejects the endpoint. It
@@ -158,7 +222,7 @@
 		return false
 	}
 	share := r.failures / max(r.samples, minSamples)
-	if kind != Unreachable && share < maxFailureShare {
+	if kind != Unreachable && kind != Refused && share < maxFailureShare {
 		return false
 	}
 	r.eject(now, 0)
@@ -179,16 +243,50 @@
 func (t *Tracker) ApplyPeerEjection(m fleet.Member, kind FailureKind, endpoints []fleet.Member, jitter float64, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := Verdict{DomainEjected: kind == Unreachable && t.domain(m.Domain).recordUnreachable(m.ID, false, now)}
+	return t.applyPeerEjection(m, kind, endpoints, jitter, now)
+}
+
+// ApplyPeerRefusal applies the report of a host that the endpoint refuses connections,
+// like an ejection that it reports. If several hosts found so, it is applied whatever
+// share of the endpoints is ejected, as long as another one remains.
+func (t *Tracker) ApplyPeerRefusal(m fleet.Member, host string, endpoints []fleet.Member, jitter float64, now time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(m.ID)
+	confirmed := r.recordRefused(host, now)
+	v := t.applyPeerEjection(m, Refused, endpoints, jitter, now)
+	if v.Ejected || now.Before(r.ejectedUntil) || !confirmed || !t.otherRemains(m, endpoints, now) {
+		return v
+	}
+	r.ejectByPeer(jitter, now)
+	v.Ejected, v.Confirmed = true, true
+	return v
+}
+
+// otherRemains reports whether another of a service's endpoints is live and not
+// ejected. It must be called with mu held.
+func (t *Tracker) otherRemains(m fleet.Member, endpoints []fleet.Member, now time.Time) bool {
+	return slices.ContainsFunc(endpoints, func(o fleet.Member) bool {
+		return o.ID != m.ID && o.State == endpoint.StateLive && !t.ejected(o, now)
+	})
+}
+
+// applyPeerEjection is ApplyPeerEjection. It must be called with mu held.
+func (t *Tracker) applyPeerEjection(m fleet.Member, kind FailureKind, endpoints []fleet.Member, jitter float64, now time.Time) Verdict {
+	v := Verdict{DomainEjected: (kind == Unreachable || kind == Refused) && t.domain(m.Domain).recordUnreachable(m.ID, false, now)}
 	r := t.record(m.ID)
 	if now.Before(r.ejectedUntil) || now.Sub(r.succeededAt) < ownAnswerMaxAge || !t.acceptsPeerEjection(endpoints, now) {
 		return v
 	}
-	r.eject(now, peerEjectionMargin+time.Duration(jitter*float64(peerEjectionMargin)))
+	r.ejectByPeer(jitter, now)
 	v.Ejected = true
 	return v
 }
 
+func (r *record) ejectByPeer(jitter float64, now time.Time) {
+	r.eject(now, peerEjectionMargin+time.Duration(jitter*float64(peerEjectionMargin)))
+}
+
 // acceptsPeerEjection reports whether so few of a service's endpoints are
 // ejected that the endpoints are more likely at fault than the reporting host's
 // links. It must be called with mu held.
@@ -206,6 +304,11 @@
 func (t *Tracker) Ejected(m fleet.Member, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.ejected(m, now)
+}
+
+// ejected is Ejected. It must be called with mu held.
+func (t *Tracker) ejected(m fleet.Member, now time.Time) bool {
 	if r := t.records[m.ID]; r != nil && now.Before(r.ejectedUntil) {
 		return true
 	}
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -203,6 +203,75 @@
 	}
 }
 
+// TestCrashOfMostEndpoints replays the crash of four of five endpoints with 65 hosts. It
+// guards against a request of each host that is lost to each crashed endpoint, because
+// the reports of the others are applied for a third of the endpoints only, and against
+// the ejection of the last endpoint or by the reports of one host.
+func TestCrashOfMostEndpoints(t *testing.T) {
+	var all []fleet.Member
+	for i := range 5 {
+		m := memberInOwnDomain(fmt.Sprint(i))
+		m.State = endpoint.StateLive
+		all = append(all, m)
+	}
+	for name, tt := range map[string]struct {
+		kind         FailureKind
+		least, limit int
+	}{"refused": {Refused, 4, 16}, "unreachable": {Unreachable, 100, 260}} {
+		trackers := make([]*Tracker, 65)
+		for i := range trackers {
+			trackers[i] = NewTracker()
+		}
+		lost := 0
+		for i := range 65 * 4 {
+			now, host := start.Add(time.Duration(i)*3*time.Millisecond), i%65
+			for _, m := range all[:4] {
+				if trackers[host].Ejected(m, now) {
+					continue
+				}
+				lost++
+				if !trackers[host].Failed(m, tt.kind, now).Reportable {
+					continue
+				}
+				for other, tr := range trackers {
+					if other == host {
+						continue
+					}
+					if tt.kind == Refused {
+						tr.ApplyPeerRefusal(m, fmt.Sprint(host), all, 0.5, now)
+					} else {
+						tr.ApplyPeerEjection(m, tt.kind, all, 0.5, now)
+					}
+				}
+				break
+			}
+		}
+		t.Logf("%s: %d requests lost", name, lost)
+		if lost < tt.least || lost > tt.limit {
+			t.Errorf("%s: %d requests lost, want %d to %d", name, lost, tt.least, tt.limit)
+		}
+	}
+	tr := NewTracker()
+	for _, m := range all {
+		for range 3 {
+			tr.ApplyPeerRefusal(m, "a", all, 0, start)
+		}
+	}
+	if tr.Ejected(all[2], start) {
+		t.Error("one host's reports eject more than a third of the endpoints")
+	}
+	for _, m := range all {
+		tr.ApplyPeerRefusal(m, "b", all, 0, start)
+	}
+	if !tr.Ejected(all[3], start) || tr.Ejected(all[4], start) {
+		t.Error("the reports of two hosts must eject all endpoints but the last one")
+	}
+	tr.Succeeded(all[4], start)
+	if tr.ApplyPeerRefusal(all[4], "a", all, 0, start).Ejected {
+		t.Error("an endpoint that answered is ejected by one later report")
+	}
+}
+
 // memberInOwnDomain returns an endpoint that is alone in its failure domain.
 func memberInOwnDomain(id string) fleet.Member { return memberInDomain(id, "of-"+id) }
 
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -50,6 +50,9 @@
 	// SilentKept counts sends whose endpoint was silent for too long and was waited
 	// for, because no other could take over; SilentLeft those that were given up.
 	SilentKept, SilentLeft expvar.Int
+	// Ejections counts the ejections of endpoints by the kind of failure, PeerEjections
+	// those that other hosts reported.
+	Ejections, PeerEjections expvar.Map
 	// Total is the time from the arrival to the end of the answer, FirstByte that
 	// to its first byte. Prefill is the time of a successful prefill, FirstEvent
 	// that from the send to a decode engine to the first event.
@@ -60,6 +63,8 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{Total: newHistogram(), FirstByte: newHistogram(), Prefill: newHistogram(), FirstEvent: newHistogram()}
 	m.Requests.Init()
+	m.Ejections.Init()
+	m.PeerEjections.Init()
 	return m
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -57,8 +57,8 @@
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
 	LiveHosts func() int
-	// OnEjected is called for each endpoint that is ejected, to report it to the
-	// other hosts. The callbacks must be safe for concurrent use.
+	// OnEjected is called for each endpoint that is ejected or is found to be gone, to
+	// report it to the other hosts. The callbacks must be safe for concurrent use.
 	OnEjected func(m fleet.Member, kind outlier.FailureKind)
 	// OnLeaving is called for each endpoint that Fleet has marked as leaving because
 	// of its answer.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,9 @@
 	// errNoStatement reports a status that promises callers that the request has not run,
 	// from an endpoint that does not state it.
 	errNoStatement = errors.New("the endpoint does not state that the request has not run")
+	// errProcessGone reports an endpoint that broke off a request and then refused a new
+	// connection.
+	errProcessGone = errors.New("the endpoint's process is gone")
 	// errNoStamp reports a success without the stamp of an endpoint.
 	errNoStamp = errors.New("the answer carries no endpoint stamp")
 )
@@ -151,6 +155,9 @@
 	switch {
 	case notSent(err):
 		kind = outlier.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+			kind = outlier.Refused
+		}
 		h.Client.CloseIdle(m.Address)
 	case errors.Is(err, upstream.ErrAnswerTimeout):
 		// The endpoint may be down or only slow; the next dial shows which. Its
@@ -177,7 +184,14 @@
 		h.Log.WithField("domain", m.Domain).WithField("endpoint", m.ID).WithError(err).Warn("domain_ejected")
 	}
 	if verdict.Ejected {
-		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
+		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithField("kind", kind.String()).WithError(err).Warn("endpoint_ejected")
+		h.Metrics.Ejections.Add(kind.String(), 1)
+	}
+	if verdict.Reportable {
 		h.OnEjected(m, kind)
 	}
 }
+
+// EndpointGone records that the endpoint broke off a request and refuses new
+// connections.
+func (h *Handler) EndpointGone(m fleet.Member) { h.recordFailure(m, outlier.Refused, errProcessGone) }
--- a/pkg/relayhost/evidence.go
+++ b/pkg/relayhost/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,6 +53,10 @@
 func (h *Host) reportCrash(e quarantine.Evidence) {
 	h.log.WithField("endpoint", e.Crash.Endpoint).WithField("features", len(e.Running)).Warn("endpoint_crashed")
 	h.exchange.ReportCrashes([]quarantine.Evidence{e})
+	if m, found := h.fleet.Find(e.Crash.Endpoint); found && strconv.FormatInt(m.StartedMillis, 10) == e.Crash.Process {
+		// The guard found that new connections are refused.
+		h.handler.EndpointGone(m)
+	}
 }
 
 func (h *Host) reportRefuted(features []quarantine.Feature) { h.exchange.ReportRefuted(features) }
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -46,6 +46,12 @@
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) {
 		line("store_calls{call="+strconv.Quote(kv.Key)+"}", kv.Value)
 	})
+	h.metrics.Ejections.Do(func(kv expvar.KeyValue) {
+		line("endpoints_ejected{kind="+strconv.Quote(kv.Key)+"}", kv.Value)
+	})
+	h.metrics.PeerEjections.Do(func(kv expvar.KeyValue) {
+		line("endpoints_ejected_elsewhere{kind="+strconv.Quote(kv.Key)+"}", kv.Value)
+	})
 	line("requests_late", h.metrics.Late.Value())
 	line("sends_repeated", h.metrics.Retries.Value())
 	line("streams_resumed", h.metrics.Resumed.Value())
