relay: a failed answer is passed on instead of a refusal of our own

Cause: a lookup whose first endpoint answered 500 was sent to a second one. If that had no room or broke off, the caller got a 502 of the host and the first answer was lost.

Change: the last answer with a failure is kept and passed on when the request is not sent again. A repetition that an endpoint refused as not run leaves its place to another endpoint, once, within the retry budget.

--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -23,11 +23,34 @@
 	busyRetryAfter = 250 * time.Millisecond
 )
 
+// failedAnswer is an answer with a failure after which a request was sent again.
+type failedAnswer struct {
+	endpoint string
+	answer   *upstream.Answer
+	body     []byte
+}
+
+// endPlain ends a request that is not sent again: with the last failure that an endpoint
+// answered with, which tells the caller more than a refusal, or with a refusal.
+func (h *Handler) endPlain(x *exchange, failed *failedAnswer, err error) *refusal.Refusal {
+	if failed == nil {
+		return h.noEndpointRefusal(x, err)
+	}
+	x.logFields["endpoint"] = failed.endpoint
+	if err != nil {
+		x.logFields["cause"] = err.Error()
+	}
+	x.respond(failed.answer, failed.body)
+	return nil
+}
+
 // servePlain serves a request to a service without engines. The answer is not
 // streamed.
 func (h *Handler) servePlain(x *exchange) *refusal.Refusal {
 	var tried []string
 	var lastErr error
+	var failed *failedAnswer
+	refusedAfterFailure := false
 	for notSentCount := 0; ; {
 		if r := x.cancellationRefusal(); r != nil {
 			return r
@@ -38,7 +61,7 @@
 		sentAt := time.Now()
 		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), sentAt)
 		if !ok {
-			return h.noEndpointRefusal(x, lastErr)
+			return h.endPlain(x, failed, lastErr)
 		}
 		sent := h.Balancer.Report(member)
 		h.OnSent(x.service, sent)
@@ -52,13 +75,20 @@
 		}
 		if err != nil {
 			lastErr = err
+		} else {
+			failed, lastErr = &failedAnswer{member.ID, answer, body}, nil
 		}
 		tried = append(tried, member.ID)
 		if notSent(err) {
 			if notSentCount++; notSentCount < maxUnreachableEndpoints {
 				continue
 			}
-			return h.noEndpointRefusal(x, lastErr)
+			return h.endPlain(x, failed, lastErr)
+		}
+		if failed != nil && provesNotRun(err) && !refusedAfterFailure {
+			// An endpoint without room leaves the repetition to another one, once.
+			refusedAfterFailure = true
+			x.attempts--
 		}
 		if r := x.cancellationRefusal(); r != nil {
 			return r
@@ -67,12 +97,7 @@
 			h.Metrics.Retries.Add(1)
 			continue
 		}
-		if err == nil {
-			x.logFields["endpoint"] = member.ID
-			x.respond(answer, body)
-			return nil
-		}
-		return h.noEndpointRefusal(x, lastErr)
+		return h.endPlain(x, failed, lastErr)
 	}
 }
 
