relay, fleet: a 421 does not count against the sends of a request

Cause: two engines or endpoints in a row at whose addresses other instances answer used up the few sends of a request, and the caller got a 503. The next request was sent to the same endpoints again.

Change: after a 421 the next send counts against the retry budget only, for plain services, prefills and decodes. A decode keeps its handle. Log line endpoint_misdirected.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -78,12 +78,17 @@
 // Registry is the set of known endpoints. It is safe for concurrent use.
 type Registry struct {
 	pauses retryafter.Pauses[instance]
+	// misdirectedUntil holds until when the endpoints in misdirected are left out.
+	misdirectedUntil retryafter.Pauses[instance]
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	members map[string]Member
 	// leaving holds the start times of the endpoints that MarkLeaving has marked.
 	leaving *lru.LRU[string, int64]
+	// misdirected holds the last announcements of the endpoints that MarkMisdirected has
+	// marked.
+	misdirected map[string]Member
 	// lapsedAt holds when the announcements of retained members lapsed.
 	lapsedAt map[string]time.Time
 	// storeAnsweredAt is when the store last answered any host.
@@ -106,7 +111,7 @@
 func NewRegistry() *Registry {
 	// NewLRU fails only for sizes below one.
 	leaving, _ := lru.NewLRU[string, int64](maxLeaving, nil)
-	return &Registry{members: map[string]Member{}, leaving: leaving, lapsedAt: map[string]time.Time{}, membersByService: map[string][]Member{}}
+	return &Registry{members: map[string]Member{}, leaving: leaving, misdirected: map[string]Member{}, lapsedAt: map[string]time.Time{}, membersByService: map[string][]Member{}}
 }
 
 // StoreAnswered records that the store answered this or another host at a time.
@@ -138,6 +143,7 @@
 	if known && m.olderThan(old) {
 		return Unchanged
 	}
+	r.endMisdirected(m)
 	if started, marked := r.leaving.Peek(m.ID); marked && m.StartedMillis <= started && m.State == endpoint.StateLive {
 		m.State = endpoint.StateLeaving
 	}
@@ -195,9 +201,15 @@
 }
 
 // PausedUntil returns when the endpoint takes requests again. It is zero or in the
-// past if the endpoint is not paused.
+// past if the endpoint is neither paused nor left out because another instance answered
+// at its address.
 func (r *Registry) PausedUntil(m Member) time.Time {
-	return r.pauses.Until(instance{m.ID, m.StartedMillis})
+	key := instance{m.ID, m.StartedMillis}
+	paused, misdirected := r.pauses.Until(key), r.misdirectedUntil.Until(key)
+	if misdirected.After(paused) {
+		return misdirected
+	}
+	return paused
 }
 
 // Remove applies the lapse of an announcement. It returns Removed, or Retained
@@ -219,6 +231,7 @@
 // removeMember must be called with mu held.
 func (r *Registry) removeMember(id string) {
 	delete(r.members, id)
+	delete(r.misdirected, id)
 	delete(r.lapsedAt, id)
 	clear(r.membersByService)
 	r.version++
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -37,6 +37,36 @@
 	}
 }
 
+// TestMisdirectedEndpoint guards against requests to an endpoint at whose address another
+// instance has answered, also after its old announcement is read once more, and against
+// one that is left out although it has announced itself again.
+func TestMisdirectedEndpoint(t *testing.T) {
+	excluded := func(r *Registry, m Member, after time.Duration) bool { return r.PausedUntil(m).After(start.Add(after)) }
+	old, repeated, restarted := member("a", 10, 2, endpoint.StateLive), member("a", 10, 3, endpoint.StateLive), member("a", 20, 1, endpoint.StateLive)
+	for name, next := range map[string]Member{"repeated": repeated, "restarted": restarted} {
+		r := NewRegistry()
+		r.Announce(old)
+		if !r.MarkMisdirected(old, start) || r.MarkMisdirected(old, start) || !excluded(r, old, 0) {
+			t.Errorf("%s: the endpoint is not left out", name)
+		}
+		r.Announce(old)
+		r.Announce(member("a", 10, 1, endpoint.StateLive))
+		if !excluded(r, old, 0) {
+			t.Errorf("%s: an old announcement ended the exclusion", name)
+		}
+		if excluded(r, old, misdirectedTime) {
+			t.Errorf("%s: the exclusion lasts although the announcement has not lapsed", name)
+		}
+		r.Announce(next)
+		if excluded(r, next, 0) {
+			t.Errorf("%s: a new announcement did not end the exclusion", name)
+		}
+		if r.MarkMisdirected(old, start) != (name == "repeated") {
+			t.Errorf("%s: late answer", name)
+		}
+	}
+}
+
 // TestLapsesInAnOutage guards against endpoints that are removed because their
 // announcements lapsed during an outage of the store, and against endpoints
 // that are kept although they do not announce themselves again.
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -50,7 +50,8 @@
 	priority int
 
 	// attempts counts the sends that may have run the request. For plain services
-	// it also counts those that an endpoint refused.
+	// it also counts those that an endpoint refused, but not those that another instance
+	// answered.
 	attempts int
 	// attempt is the state of the current send.
 	attempt attempt
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -53,6 +53,8 @@
 	model   *placement.Model
 	job     placement.Job
 	urgency placement.Urgency
+	// misdirected counts the prefills that another instance than the engine answered.
+	misdirected int
 	// held is set while the host holds the request back.
 	held *placement.HeldJob
 	// lastDelivered is the id of the last event that the caller has received.
@@ -244,10 +246,13 @@
 		return r
 	}
 	g.job.Exclude = append(g.job.Exclude, c.Engine.ID)
-	if notSent(err) && len(g.job.Exclude) <= maxUnreachableEndpoints {
+	if misdirected(err) {
+		g.misdirected++
+	}
+	if notSent(err) && g.prefillSends() <= maxUnreachableEndpoints {
 		return nil
 	}
-	if g.mayRetryPrefill(err) && len(g.job.Exclude) < maxPrefillEngines {
+	if g.mayRetryPrefill(err) && g.prefillSends() < maxPrefillEngines {
 		g.h.Metrics.Retries.Add(1)
 		return nil
 	}
@@ -257,6 +262,9 @@
 	return refusal.NotRun(503, refusal.CodeNoEndpoint, "no engine read the prompt").WithRetryAfter(g.h.retryAfterPause(g.x, endpoint.RolePrefill, minOverloadRetryAfter)).WithCause(err)
 }
 
+// prefillSends returns the number of engines that were asked for a prefill.
+func (g *generation) prefillSends() int { return len(g.job.Exclude) - g.misdirected }
+
 // mayRetryPrefill reports whether the retry budget allows another prefill after a
 // failed one. Every prefill counts as a retry, except the first one that an engine
 // accepts: a rejected prefill is counted itself, after any other failure the next
@@ -309,6 +317,10 @@
 			return nil, false, r
 		}
 		switch {
+		case misdirected(err) && g.h.Budget.Spend(g.x.service, time.Now()):
+			// The handle is as good as before.
+			asked--
+			g.h.Metrics.Retries.Add(1)
 		case notSent(err) && asked < maxDecodeEngines:
 		case provesNotRun(err) && asked < maxDecodeEngines && g.h.Budget.Spend(g.x.service, time.Now()):
 			g.h.Metrics.Retries.Add(1)
@@ -388,6 +400,9 @@
 		job.Exclude = append(job.Exclude, choice.Engine.ID)
 		lastErr = err
 		switch {
+		case misdirected(err) && g.mayRetryRun(err):
+			sends--
+			g.h.Metrics.Retries.Add(1)
 		case notSent(err) && sends < maxDecodeEngines:
 		case provesNotRun(err) && sends < maxDecodeEngines && g.mayRetryRun(err):
 			g.h.Metrics.Retries.Add(1)
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -85,7 +85,7 @@
 			}
 			return h.endPlain(x, failed, lastErr)
 		}
-		if failed != nil && provesNotRun(err) && !refusedAfterFailure {
+		if failed != nil && provesNotRun(err) && !misdirected(err) && !refusedAfterFailure {
 			// An endpoint without room leaves the repetition to another one, once.
 			refusedAfterFailure = true
 			x.attempts--
@@ -123,7 +123,7 @@
 	}
 	sentAt := time.Now()
 	answer, err := h.send(x, m, ForwardOptions{}, limit, !x.route.MayRepeat())
-	if !notSent(err) {
+	if !notSent(err) && !misdirected(err) {
 		x.attempts++
 	}
 	if err != nil {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
@@ -55,6 +56,15 @@
 	return errors.As(err, &refused) || errors.As(err, &unsent)
 }
 
+// misdirected reports whether err is the answer of another instance than the endpoint. It
+// proves that the request did not run, and says nothing about the endpoint's load: a
+// repetition does not count against the sends of a request, only against the retry
+// budget. The endpoint is left out, so that there are not more than there are endpoints.
+func misdirected(err error) bool {
+	var refused *notRunError
+	return errors.As(err, &refused) && refused.status == 421
+}
+
 // notSent reports whether err proves that the endpoint has not seen the request.
 func notSent(err error) bool {
 	var e *jsonhttp.NotSentError
@@ -119,6 +129,9 @@
 	case answer.Status < 300 && !header.Stamped && opts.Phase != PhasePrefill:
 		err = errNoStamp
 	}
+	if misdirected(err) && h.Fleet.MarkMisdirected(m, time.Now()) {
+		h.Log.WithFields(log.Fields{"endpoint": m.ID, "service": m.Service, "address": m.Address}).Warn("endpoint_misdirected")
+	}
 	if statesOwnCondition(answer, err) {
 		h.applyNotices(m, answer.Status, header)
 	}
--- a/pkg/relay/silence.go
+++ b/pkg/relay/silence.go
@@ -74,7 +74,7 @@
 		choice, ok := g.choosePrefillWithout(m, now)
 		return retry.Silence{
 			// A prefill does not run the request.
-			Repeatable: true, Sends: len(g.job.Exclude) + 1, MaxSends: maxPrefillEngines,
+			Repeatable: true, Sends: g.prefillSends() + 1, MaxSends: maxPrefillEngines,
 			Alternative: ok && g.inTime(choice, now),
 		}
 	}
--- a/pkg/retryafter/retryafter.go
+++ b/pkg/retryafter/retryafter.go
@@ -87,6 +87,13 @@
 	return !paused && d > 0
 }
 
+// End ends the pause of an endpoint.
+func (p *Pauses[K]) End(key K) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.until, key)
+}
+
 // Until returns when the endpoint takes requests again, which may be in the past. It
 // is zero if the endpoint has not been paused.
 func (p *Pauses[K]) Until(key K) time.Time {
