--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -30,6 +30,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
+	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
@@ -121,7 +122,7 @@
 	Conn net.PacketConn
 	// LinkBytesPerSecond is the rate of this host's link; zero if it is not known.
 	LinkBytesPerSecond float64
-	// OnSend receives the sends of other hosts to engines.
+	// OnSend receives the sends of other hosts to engines and plain endpoints.
 	OnSend func(service string, sent placement.SendReport)
 	// OnDecoded receives the durations of streams of other hosts.
 	OnDecoded func(service string, sample placement.DecodeSample)
@@ -136,9 +137,9 @@
 	OnSpeed func(service string, s placement.SpeedReport)
 	// OnBlock receives an engine that takes no work for the time d.
 	OnBlock func(service, engine string, d time.Duration)
-	// OnEject receives an endpoint that another host has ejected; unreachable
-	// says that the host could not reach it.
-	OnEject func(endpoint, host string, unreachable bool)
+	// OnEject receives an endpoint that another host has ejected, or has found to be
+	// gone, by a failure of the kind.
+	OnEject func(endpoint, host string, kind outlier.FailureKind)
 	// OnCrash receives the requests that ran at a crash of an endpoint, OnRefuted the
 	// features of requests that have completed.
 	OnCrash   func(quarantine.Evidence)
@@ -251,11 +252,15 @@
 	return 1 + len(x.peers)
 }
 
-// ReportSend queues the report of a send to an engine.
+// ReportSend queues the report of a send to an engine or a plain endpoint.
 func (x *Exchange) ReportSend(service string, sent placement.SendReport) {
 	r := report{Service: service, Engine: sent.EngineID, Phase: phasePrefill, WorkMicros: sent.WorkMicros}
-	if sent.Role == endpoint.RoleDecode {
+	switch sent.Role {
+	case endpoint.RoleDecode:
 		r.Phase = phaseDecode
+	case "":
+		r.Phase = phasePlain
+		r.setAnswers(sent.Answers)
 	}
 	r.setParts(sent.Parts)
 	x.enqueueSend(r)
@@ -313,11 +318,11 @@
 	x.enqueue(report{Service: service, Engine: engine, Phase: phaseBlocked, WorkMicros: d.Microseconds()})
 }
 
-// ReportEjection queues the report that this host has ejected an endpoint.
-// unreachable says that this host could not reach it.
-func (x *Exchange) ReportEjection(service, endpoint string, unreachable bool) {
-	r := report{Service: service, Engine: endpoint, Phase: phaseEjected}
-	if unreachable {
+// ReportEjection queues the report that this host has ejected an endpoint, or has found
+// an ejected one to be gone, by a failure of the kind.
+func (x *Exchange) ReportEjection(service, endpoint string, kind outlier.FailureKind) {
+	r := report{Service: service, Engine: endpoint, Phase: phaseEjected, Parts: []uint64{uint64(kind)}, Sizes: []int{0}}
+	if kind == outlier.Unreachable || kind == outlier.Refused {
 		r.Phase = phaseEjectedUnreachable
 	}
 	x.enqueue(r)
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -105,7 +105,7 @@
 			x.opts.OnBlock(r.Service, r.Engine, time.Duration(r.WorkMicros)*time.Microsecond)
 			continue
 		case phaseEjected, phaseEjectedUnreachable:
-			x.opts.OnEject(r.Engine, host, r.Phase == phaseEjectedUnreachable)
+			x.opts.OnEject(r.Engine, host, r.failureKind())
 			continue
 		case phaseLeaving:
 			if len(r.Parts) == 1 {
@@ -120,6 +120,9 @@
 		case phaseCached:
 			x.opts.OnCached(r.Service, r.Engine, r.parts())
 			continue
+		case phasePlain:
+			x.opts.OnSend(r.Service, placement.SendReport{EngineID: r.Engine, WorkMicros: r.WorkMicros, Answers: r.answers()})
+			continue
 		}
 		sent := placement.SendReport{EngineID: r.Engine, Role: endpoint.RolePrefill, WorkMicros: r.WorkMicros, Parts: r.parts()}
 		if r.Phase == phaseDecode {
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -23,11 +23,34 @@
 	busyRetryAfter = 250 * time.Millisecond
 )
 
+// failedAnswer is an answer with a failure after which a request was sent again.
+type failedAnswer struct {
+	endpoint string
+	answer   *upstream.Answer
+	body     []byte
+}
+
+// endPlain ends a request that is not sent again: with the last failure that an endpoint
+// answered with, which tells the caller more than a refusal, or with a refusal.
+func (h *Handler) endPlain(x *exchange, failed *failedAnswer, err error) *refusal.Refusal {
+	if failed == nil {
+		return h.noEndpointRefusal(x, err)
+	}
+	x.logFields["endpoint"] = failed.endpoint
+	if err != nil {
+		x.logFields["cause"] = err.Error()
+	}
+	x.respond(failed.answer, failed.body)
+	return nil
+}
+
 // servePlain serves a request to a service without engines. The answer is not
 // streamed.
 func (h *Handler) servePlain(x *exchange) *refusal.Refusal {
 	var tried []string
 	var lastErr error
+	var failed *failedAnswer
+	refusedAfterFailure := false
 	for notSentCount := 0; ; {
 		if r := x.cancellationRefusal(); r != nil {
 			return r
@@ -35,12 +58,16 @@
 		if r := h.quarantineRefusal(x); r != nil {
 			return r
 		}
-		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), time.Now())
+		sentAt := time.Now()
+		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), sentAt)
 		if !ok {
-			return h.noEndpointRefusal(x, lastErr)
+			return h.endPlain(x, failed, lastErr)
 		}
+		sent := h.Balancer.Report(member)
+		h.OnSent(x.service, sent)
+		x.logFields["expected_ms"] = sent.WorkMicros / 1000
 		answer, body, err := h.sendPlain(x, member, tried)
-		h.Balancer.Done(member.ID)
+		h.Balancer.Done(member, sentAt, err == nil && answer.Status < 500, time.Now())
 		if err == nil && !h.isRetryableAnswer(x, answer) {
 			x.logFields["endpoint"] = member.ID
 			x.respond(answer, body)
@@ -48,13 +75,20 @@
 		}
 		if err != nil {
 			lastErr = err
+		} else {
+			failed, lastErr = &failedAnswer{member.ID, answer, body}, nil
 		}
 		tried = append(tried, member.ID)
 		if notSent(err) {
 			if notSentCount++; notSentCount < maxUnreachableEndpoints {
 				continue
 			}
-			return h.noEndpointRefusal(x, lastErr)
+			return h.endPlain(x, failed, lastErr)
+		}
+		if failed != nil && provesNotRun(err) && !misdirected(err) && !refusedAfterFailure {
+			// An endpoint without room leaves the repetition to another one, once.
+			refusedAfterFailure = true
+			x.attempts--
 		}
 		if r := x.cancellationRefusal(); r != nil {
 			return r
@@ -63,12 +97,7 @@
 			h.Metrics.Retries.Add(1)
 			continue
 		}
-		if err == nil {
-			x.logFields["endpoint"] = member.ID
-			x.respond(answer, body)
-			return nil
-		}
-		return h.noEndpointRefusal(x, lastErr)
+		return h.endPlain(x, failed, lastErr)
 	}
 }
 
@@ -94,7 +123,7 @@
 	}
 	sentAt := time.Now()
 	answer, err := h.send(x, m, ForwardOptions{}, limit, !x.route.MayRepeat())
-	if !notSent(err) {
+	if !notSent(err) && !misdirected(err) {
 		x.attempts++
 	}
 	if err != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -63,13 +63,13 @@
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
 	LiveHosts func() int
-	// OnEjected is called for each endpoint that is ejected, to report it to the
-	// other hosts. The callbacks must be safe for concurrent use.
+	// OnEjected is called for each endpoint that is ejected or is found to be gone, to
+	// report it to the other hosts. The callbacks must be safe for concurrent use.
 	OnEjected func(m fleet.Member, kind outlier.FailureKind)
 	// OnLeaving is called for each endpoint that Fleet has marked as leaving because
 	// of its answer.
 	OnLeaving func(m fleet.Member)
-	// OnSent is called for each send of model work, to report it to the other hosts.
+	// OnSent is called for each send, to report it to the other hosts.
 	OnSent func(service string, sent placement.SendReport)
 	// OnDecoded is called for each complete stream that tells of its engine's speed, to
 	// report it to the other hosts.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/descriptors"
@@ -30,6 +32,9 @@
 	// errNoStatement reports a status that promises callers that the request has not run,
 	// from an endpoint that does not state it.
 	errNoStatement = errors.New("the endpoint does not state that the request has not run")
+	// errProcessGone reports an endpoint that broke off a request and then refused a new
+	// connection.
+	errProcessGone = errors.New("the endpoint's process is gone")
 	// errNoStamp reports a success without the stamp of an endpoint.
 	errNoStamp = errors.New("the answer carries no endpoint stamp")
 )
@@ -61,6 +66,15 @@
 	return errors.As(err, &refused) && refused.status != 421
 }
 
+// misdirected reports whether err is the answer of another instance than the endpoint. It
+// proves that the request did not run, and says nothing about the endpoint's load: a
+// repetition does not count against the sends of a request, only against the retry
+// budget. The endpoint is left out, so that there are not more than there are endpoints.
+func misdirected(err error) bool {
+	var refused *notRunError
+	return errors.As(err, &refused) && refused.status == 421
+}
+
 // notSent reports whether err proves that the endpoint has not seen the request.
 func notSent(err error) bool {
 	var e *jsonhttp.NotSentError
@@ -125,6 +139,9 @@
 	case answer.Status < 300 && !header.Stamped && opts.Phase != PhasePrefill:
 		err = errNoStamp
 	}
+	if misdirected(err) && h.Fleet.MarkMisdirected(m, time.Now()) {
+		h.Log.WithFields(log.Fields{"endpoint": m.ID, "service": m.Service, "address": m.Address}).Warn("endpoint_misdirected")
+	}
 	if statesOwnCondition(answer, err) {
 		h.applyNotices(m, answer.Status, header)
 	}
@@ -164,6 +181,9 @@
 		return
 	case notSent(err):
 		kind = outlier.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+			kind = outlier.Refused
+		}
 		h.Client.CloseIdle(m.Address)
 	case errors.Is(err, upstream.ErrAnswerTimeout):
 		// The endpoint may be down or only slow; the next dial shows which. Its
@@ -197,8 +217,15 @@
 		h.Log.WithField("domain", m.Domain).WithField("endpoint", m.ID).WithError(err).Warn("domain_ejected")
 	}
 	if verdict.Ejected {
-		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithError(err).Warn("endpoint_ejected")
+		h.Log.WithField("endpoint", m.ID).WithField("service", m.Service).WithField("kind", kind.String()).WithError(err).Warn("endpoint_ejected")
+		h.Metrics.Ejections.Add(kind.String(), 1)
 		h.Pace.Limit(placement.PaceEndpoint(m), pace.Ejected, now)
+	}
+	if verdict.Reportable {
 		h.OnEjected(m, kind)
 	}
 }
+
+// EndpointGone records that the endpoint broke off a request and refuses new
+// connections.
+func (h *Handler) EndpointGone(m fleet.Member) { h.recordFailure(m, outlier.Refused, errProcessGone) }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -87,6 +87,7 @@
 	// announced is used only by the follower of the announcements.
 	announced *fleet.Announcements
 	models    *placement.Models
+	balancer  *placement.Balancer
 	outliers  *outlier.Tracker
 	pace      *pace.Limiter
 	guard     *quarantine.Guard
@@ -131,15 +132,15 @@
 	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints,
 		BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})
 	h.models = placement.NewModels(h.pace)
-	balancer := placement.NewBalancer(settings.Domain)
-	balancer.SetLimiter(h.pace)
+	h.balancer = placement.NewBalancer(settings.Domain)
+	h.balancer.SetLimiter(h.pace)
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
 	h.quotas = h.newQuotas()
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
-		Balancer: balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
+		Balancer: h.balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -44,6 +44,12 @@
 		line("store_calls{call="+strconv.Quote(kv.Key)+"}", kv.Value)
 	})
 	h.quotaMetricsLines(line)
+	h.metrics.Ejections.Do(func(kv expvar.KeyValue) {
+		line("endpoints_ejected{kind="+strconv.Quote(kv.Key)+"}", kv.Value)
+	})
+	h.metrics.PeerEjections.Do(func(kv expvar.KeyValue) {
+		line("endpoints_ejected_elsewhere{kind="+strconv.Quote(kv.Key)+"}", kv.Value)
+	})
 	line("requests_late", h.metrics.Late.Value())
 	line("sends_repeated", h.metrics.Retries.Value())
 	line("streams_resumed", h.metrics.Resumed.Value())
@@ -52,6 +58,10 @@
 	line("requests_in_flight", h.handler.InFlight())
 	line("hosts_heard", h.liveHosts())
 	line("endpoints_known", h.fleet.Len())
+	for _, l := range h.balancer.Loads(time.Now()) {
+		line("plain_requests_running{endpoint="+strconv.Quote(l.Endpoint)+"}", l.Running)
+		line("plain_service_seconds{endpoint="+strconv.Quote(l.Endpoint)+"}", l.ServiceTime.Seconds())
+	}
 	line("caller_connections", h.conns.Open())
 	line("caller_connections_closed_idle", h.conns.ClosedIdle.Value())
 	line("requests_read_in_close", h.conns.ReadInClose.Value())
