relay: one budget for what a host holds for its callers

Change: pkg/membudget bounds the read buffers, bodies and answers at 0.3 of the host's memory. A declared length is charged before the body is read; the request waits up to 250 ms for room and is then refused (503, not run, Retry-After). A chunked body is charged as its buffer grows. The request that has been read the longest, from 300 ms on, gives way, and so do answers that their callers have not read for 3 s. The connection of a refused request is read for up to a second more, so that the caller gets the refusal instead of a reset. Answers of endpoints wait for room instead of being dropped, and count until they are written. The relay sends a body from the buffer that it was read into.

--- a/pkg/callerconn/callerconn.go
+++ b/pkg/callerconn/callerconn.go
@@ -47,6 +47,7 @@
 	conns    map[*conn]struct{} // guarded by mu
 	// listening counts the listeners that accept.
 	listening int // guarded by mu
+	memory    memory
 
 	// ClosedIdle counts the connections that were closed as idle, ReadInClose the
 	// requests whose first byte was read after Close.
@@ -124,6 +125,7 @@
 
 func (t *Tracker) add(nc net.Conn) *conn {
 	c := &conn{Conn: nc, tracker: t}
+	c.account = t.memory.open(c)
 	t.mu.Lock()
 	t.conns[c] = struct{}{}
 	t.mu.Unlock()
@@ -173,6 +175,11 @@
 	waitingSince time.Time     // guarded by mu
 	waitLimit    time.Duration // guarded by mu
 	kept         bool          // guarded by mu
+
+	account account
+	// readEvicted says that the request that is being read was evicted, lingers that a
+	// request was refused whose rest may still arrive.
+	readEvicted, lingers atomic.Bool
 }
 
 // NetConn returns the wrapped connection, for connstate.Of.
@@ -182,9 +189,13 @@
 func (c *conn) Read(p []byte) (int, error) {
 	lastRead := false
 	for {
+		if err := c.account.beforeRead(len(p)); err != nil {
+			return 0, err
+		}
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.beginRequest()
+			c.account.afterRead(n)
 			return n, err
 		}
 		if !isTimeout(err) {
@@ -237,6 +248,7 @@
 }
 
 func (c *conn) awaitRequest() {
+	c.account.endRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.waitingSince, c.waitLimit = true, time.Now(), 0
@@ -264,10 +276,13 @@
 		c.tracker.ReadInClose.Add(1)
 	}
 	_ = c.SetReadDeadline(time.Now().Add(c.tracker.timeouts().Read))
+	c.account.beginRequest()
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.linger()
+	c.account.close()
 	c.tracker.remove(c)
 	return c.Conn.Close()
 }
--- a/pkg/relay/codec.go
+++ b/pkg/relay/codec.go
@@ -26,7 +26,8 @@
 	LastEventID string
 	// Fields are the end-to-end fields without those that only the system sets.
 	Fields upstream.Fields
-	Body   []byte
+	// Body may refer to the server's buffer until the answer has been written.
+	Body []byte
 }
 
 // Prompt describes the model work that a request asks for.
@@ -91,7 +92,8 @@
 // Codec translates between this package and the wire formats of callers and
 // endpoints. It must be safe for concurrent use.
 type Codec interface {
-	// Decode decodes a caller's request. The call must not refer to memory of ctx.
+	// Decode decodes a caller's request. The call must not refer to memory of ctx,
+	// except for its body.
 	Decode(ctx *fasthttp.RequestCtx) (Call, error)
 	// Fields returns the header of a request to an endpoint.
 	Fields(call *Call, opts ForwardOptions) upstream.Fields
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -140,7 +140,7 @@
 		x.ctx.SetConnectionClose()
 	}
 	if r.RetryAfter > 0 {
-		x.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(math.Ceil(r.RetryAfter.Seconds()*100)/100, 'f', -1, 64))
+		x.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, FormatRetryAfter(r.RetryAfter))
 		x.logFields["retry_after_ms"] = r.RetryAfter.Milliseconds()
 	}
 	x.ctx.SetStatusCode(r.Status)
@@ -148,12 +148,17 @@
 	x.ctx.SetBody(r.JSON(x.call.ID))
 }
 
+// FormatRetryAfter returns the value of a Retry-After field, in hundredths of a second.
+func FormatRetryAfter(d time.Duration) string {
+	return strconv.FormatFloat(math.Ceil(d.Seconds()*100)/100, 'f', -1, 64)
+}
+
 // respond answers with an endpoint's complete answer.
 func (x *exchange) respond(answer *upstream.Answer, body []byte) {
 	x.status = answer.Status
 	x.firstByte = time.Now()
 	x.setResponseHead(answer)
-	x.ctx.SetBody(body)
+	x.ctx.Response.SetBodyRaw(body)
 }
 
 // setResponseHead copies the status and the end-to-end fields of an answer.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/loadshare"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
@@ -46,9 +47,6 @@
 	// and for metrics.
 	requestReadTimeout  = 5 * time.Second
 	operatorIdleTimeout = 20 * time.Second
-	// bodyBudgetShare is the part of the host's memory for answers that are read
-	// into memory at the same time. Endpoints in trouble may send without end.
-	bodyBudgetShare = 0.125
 )
 
 // Adapter connects a host to its platform. All fields must be set.
@@ -91,6 +89,7 @@
 	metrics      *relay.Metrics
 	server       *fasthttp.Server
 	conns        *callerconn.Tracker
+	memory       *membudget.Budget
 	// followers holds one follower per topic. It is not changed after New.
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
@@ -111,9 +110,10 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
+	memory := membudget.New(membudget.HostLimit(settings.MemoryBytes))
+	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), models: placement.NewModels(),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
-		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})}
+		client: upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, Memory: memory})}
 	h.guard = quarantine.NewGuard(quarantine.GuardOptions{
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
@@ -124,6 +124,7 @@
 		OnSent: h.reportSend, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
+	h.conns.UseBudget(memory, maxHeaderBytes)
 	h.followers = map[string]*keyedlog.Follower{
 		adapter.ConfigurationTopic: h.configurationFollower(),
 		adapter.EndpointsTopic:     h.endpointsFollower(),
@@ -249,6 +250,7 @@
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	stateAt := time.Now()
+	var memory memoryLog
 	for {
 		select {
 		case <-ctx.Done():
@@ -258,6 +260,7 @@
 				stateAt = now
 				h.logState()
 			}
+			memory.update(h.memory.Stats(), now, h.log)
 			h.client.Sweep()
 			for _, id := range h.fleet.Expire(now) {
 				h.endpointGone(id)
@@ -269,7 +272,7 @@
 
 func (h *Host) logState() {
 	fields := log.Fields{"ready": h.ready(), "leads": h.leads(), "hosts_heard": h.liveHosts(), "hosts_known": h.knownHosts(),
-		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight()}
+		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight(), "memory_held": h.memory.Stats().Held}
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) { fields["store"+strings.ReplaceAll(kv.Key, "/", "_")] = kv.Value.String() })
 	h.log.WithFields(fields).Info("host_state")
 }
--- a/pkg/relayhost/limits.go
+++ b/pkg/relayhost/limits.go
@@ -6,6 +6,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/callerconn"
+	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 )
 
@@ -59,17 +61,23 @@
 	return callerconn.Timeouts{Idle: l.IdleTimeout, Read: l.HeaderTimeout}
 }
 
-// bodyLimits is the server's callback for a request whose head has been read.
-func (h *Host) bodyLimits(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: h.limits().BodyBytes, ReadTimeout: bodyTimeout}
+// bodyLimits is the server's callback for a request whose head has been read. The relay
+// sends a body from the buffer that it was read into.
+func (h *Host) bodyLimits(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: h.conns.AdmitBody(header, h.limits().BodyBytes, 1), ReadTimeout: bodyTimeout}
 }
 
 // handle serves one request of a caller. The server's buffer bounds the head by
 // maxHeaderBytes only.
 func (h *Host) handle(ctx *fasthttp.RequestCtx) {
+	if r := h.conns.BeginServe(ctx); r != nil {
+		h.refuse(ctx, r)
+		return
+	}
+	defer h.conns.EndServe(ctx)
 	header := &ctx.Request.Header
 	if len(header.RequestURI())+len(header.RawHeaders()) > h.limits().HeaderBytes {
-		h.refuseUnread(ctx, &fasthttp.ErrSmallBuffer{})
+		h.refuse(ctx, callerconn.ReadRefusal(&fasthttp.ErrSmallBuffer{}))
 		return
 	}
 	h.handler.Handle(ctx)
@@ -77,9 +85,16 @@
 
 // refuseUnread answers a request that could not be read and closes its connection.
 func (h *Host) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
-	r := callerconn.ReadRefusal(err)
+	h.refuse(ctx, h.conns.ReadRefusal(ctx, err))
+}
+
+// refuse answers a request that the relay has not taken and closes its connection.
+func (h *Host) refuse(ctx *fasthttp.RequestCtx, r *refusal.Refusal) {
 	h.metrics.Requests.Add(r.Code, 1)
 	ctx.SetStatusCode(r.Status)
+	if r.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, relay.FormatRetryAfter(r.RetryAfter))
+	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(r.JSON(""))
 	ctx.SetConnectionClose()
--- a/pkg/upstream/bounds.go
+++ b/pkg/upstream/bounds.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"io"
-	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 )
 
 // Bounds of what a peer in trouble may send. Past them the connection is closed and
@@ -26,55 +28,90 @@
 	maxPieceBytes = 64 << 10
 )
 
-// ErrOverBudget reports an answer that was given up because the answers in memory
-// together exceed Options.BodyBudget.
-var ErrOverBudget = errors.New("the answers in memory exceed their budget")
+// The time between two attempts to charge for a piece of a body doubles from
+// minMemoryPoll to maxMemoryPoll, because hundreds of answers may wait.
+const (
+	minMemoryPoll = 10 * time.Millisecond
+	maxMemoryPoll = 160 * time.Millisecond
+)
 
-// budget bounds the bytes that are held at the same time. A nil budget, or a limit of
-// zero, means no bound. It is safe for concurrent use.
+// ErrOverBudget reports an answer whose request ended while it waited for memory.
+var ErrOverBudget = errors.New("the memory for answers is exhausted")
+
+// budget bounds the bytes of the bodies that are being read.
 type budget struct {
-	limit int64
-	held  atomic.Int64
+	memory *membudget.Budget
+	// beyond holds the place of the one body that may be read beyond the budget. It
+	// makes sure that the answers to requests that have been sent are completed, however
+	// much is held for others.
+	beyond chan struct{}
 }
 
-// take adds n bytes, or reports false if they exceed the limit.
-func (b *budget) take(n int) bool {
-	if b == nil {
-		return true
+// holding is what one body is charged. It is not charged if budget is nil.
+type holding struct {
+	budget *budget
+	held   int64
+	// beyond says that the body may be read beyond the budget.
+	beyond bool
+}
+
+// take charges n bytes. It waits while others hold too much, until done is closed.
+func (h *holding) take(n int, done <-chan struct{}) error {
+	if h.budget == nil {
+		return nil
 	}
-	if held := b.held.Add(int64(n)); b.limit > 0 && held > b.limit {
-		b.held.Add(-int64(n))
-		return false
+	m := h.budget.memory
+	for poll := minMemoryPoll; ; poll = min(2*poll, maxMemoryPoll) {
+		now := time.Now()
+		if h.beyond || h.held+int64(n) <= maxPieceBytes {
+			// Small answers are not worth the wait.
+			m.Force(int64(n), now)
+			h.held += int64(n)
+			return nil
+		}
+		if m.TakeAnswer(int64(n), now) {
+			h.held += int64(n)
+			return nil
+		}
+		select {
+		case h.budget.beyond <- struct{}{}:
+			h.beyond = true
+			continue
+		default:
+		}
+		m.MakeRoom(int64(n), now)
+		select {
+		case <-done:
+			return ErrOverBudget
+		case <-time.After(poll):
+		}
 	}
-	return true
 }
 
-func (b *budget) release(n int) {
-	if b != nil {
-		b.held.Add(-int64(n))
+func (h *holding) release() {
+	if h.budget == nil {
+		return
+	}
+	h.budget.memory.Release(h.held, time.Now())
+	if h.beyond {
+		<-h.budget.beyond
 	}
 }
 
-// readBounded reads r to its end. It fails if the body exceeds limit, or if the
-// bodies that are being read together exceed the budget. The body is read in pieces,
-// because a buffer that grows leaves its earlier copies to the garbage collector.
-func readBounded(r io.Reader, limit int, b *budget) ([]byte, error) {
+// readBounded reads r to its end. It fails if the body exceeds limit, or if done is
+// closed while the budget has no room. The body is read in pieces, because a buffer that
+// grows leaves its earlier copies to the garbage collector.
+func readBounded(r io.Reader, limit int, b *budget, done <-chan struct{}) ([]byte, error) {
 	var pieces [][]byte
-	read, taken := 0, 0
-	defer func() { b.release(taken) }()
-	take := func(n int) error {
-		if !b.take(n) {
-			return errors.Wrapf(ErrOverBudget, "after %d bytes", read)
-		}
-		taken += n
-		return nil
-	}
+	read := 0
+	h := &holding{budget: b}
+	defer h.release()
 	var free []byte
 	for {
 		if len(free) == 0 {
 			size := min(max(minPieceBytes, read), maxPieceBytes)
-			if err := take(size); err != nil {
-				return nil, err
+			if err := h.take(size, done); err != nil {
+				return nil, errors.Wrapf(err, "after %d bytes", read)
 			}
 			free = make([]byte, size)
 		}
@@ -96,8 +133,8 @@
 	if len(pieces) == 1 {
 		return pieces[0], nil
 	}
-	if err := take(read); err != nil {
-		return nil, err
+	if err := h.take(read, done); err != nil {
+		return nil, errors.Wrapf(err, "after %d bytes", read)
 	}
 	return bytes.Join(pieces, nil), nil
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
 
@@ -38,9 +39,9 @@
 	// announce a shorter time. MaxIdle bounds the idle connections per address.
 	IdleTimeout time.Duration
 	MaxIdle     int
-	// BodyBudget bounds the bytes of all bodies that are read at the same time; zero
-	// means no bound.
-	BodyBudget int64
+	// Memory bounds the bytes of all bodies that are read at the same time; nil means
+	// no bound.
+	Memory *membudget.Budget
 }
 
 // Client sends requests to peers. It is safe for concurrent use.
@@ -51,7 +52,7 @@
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	return &Client{bodies: budget{limit: opts.BodyBudget}, pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, idle: map[string][]*conn{}}}
+	return &Client{bodies: budget{memory: opts.Memory, beyond: make(chan struct{}, 1)}, pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
@@ -98,8 +99,9 @@
 	complete bool
 	conn     *conn
 	pool     *pool
-	// bodies bounds the bodies in memory, see ReadAll.
+	// bodies bounds the bodies in memory, see ReadAll. done ends the wait for memory.
 	bodies *budget
+	done   <-chan struct{}
 	// stopCtxWatch keeps the end of the request's context from closing the
 	// connection. It returns false if the context has ended already.
 	stopCtxWatch func() bool
@@ -129,7 +131,7 @@
 		}
 		return nil, steperr.Wrap(err, "exchange", address)
 	}
-	answer.stopCtxWatch, answer.pool = stop, &c.pool
+	answer.stopCtxWatch, answer.pool, answer.done = stop, &c.pool, ctx.Done()
 	return answer, nil
 }
 
@@ -137,7 +139,7 @@
 // end of the request's context aborts the connection. Its deadline is not set on
 // the connection, because it may be the time of another clock than the system's.
 func (c *Client) exchange(cn *conn, req *Request) (*Answer, error) {
-	if _, err := cn.Write(req.encode()); err != nil {
+	if err := req.writeTo(cn.Conn); err != nil {
 		return nil, errors.Wrap(err, "write request")
 	}
 	if req.HeadTimeout > 0 {
@@ -173,7 +175,7 @@
 		if req.Belongs == nil || req.Belongs(answer) || !cn.reused || !answer.framed || strays >= maxStrayAnswers {
 			return answer, nil
 		}
-		if _, err := readBounded(answer, maxStrayBytes, &c.bodies); err != nil {
+		if _, err := readBounded(answer, maxStrayBytes, &c.bodies, nil); err != nil {
 			return nil, errors.Wrap(err, "skip an answer to an earlier request")
 		}
 	}
@@ -270,10 +272,10 @@
 }
 
 // ReadAll reads the whole body. A body of more than limit bytes is an error that
-// wraps ErrIncomplete. ErrOverBudget reports that too many bytes are held for other
-// answers.
+// wraps ErrIncomplete. While too many bytes are held for others, it waits until the
+// request's context ends, and then fails with ErrOverBudget.
 func (a *Answer) ReadAll(limit int) ([]byte, error) {
-	return readBounded(a, limit, a.bodies)
+	return readBounded(a, limit, a.bodies, a.done)
 }
 
 // Close ends the exchange. The connection is kept for the next one if the whole
--- a/pkg/upstream/message.go
+++ b/pkg/upstream/message.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -88,10 +89,24 @@
 	Belongs func(*Answer) bool
 }
 
-// encode returns the request as it is sent. It has a Content-Length if it has a
-// body or its method implies one.
+// maxJoinedBody is the largest body that is copied behind the head, to be sent in the
+// same packet. Larger ones are sent from their own buffer.
+const maxJoinedBody = 4 << 10
+
+// writeTo sends the request.
+func (r *Request) writeTo(nc net.Conn) error {
+	message := net.Buffers{r.encode()}
+	if len(r.Body) > maxJoinedBody {
+		message = append(message, r.Body)
+	}
+	_, err := message.WriteTo(nc)
+	return err
+}
+
+// encode returns the request as it is sent, without a body that is larger than
+// maxJoinedBody. It has a Content-Length if it has a body or its method implies one.
 func (r *Request) encode() []byte {
-	b := make([]byte, 0, 512+len(r.Body))
+	b := make([]byte, 0, 512+min(len(r.Body), maxJoinedBody))
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -106,6 +121,9 @@
 		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	b = append(b, "\r\n"...)
+	if len(r.Body) > maxJoinedBody {
+		return b
+	}
 	return append(b, r.Body...)
 }
 
