gate: the same budget for what a host holds for its callers

Cause: clementineshed serve bounded each body, but not their sum, and each idle connection held a read buffer of header_bytes.

Change: the budget of the relay applies to pkg/gate, from the new setting limits.memory (default 2GiB, 0.3 of it for callers). serve sets the garbage collector as the relay does (40 percent, 0.7 of the memory). A model request is charged four times its body, a service call twice. Services get a body from the buffer that it was read into, answers are not copied again, and the buffer of a model request is released once it is decoded. Idle connections hold no buffer. Multipart bodies are passed on as they came instead of being decoded into temporary files.

TestRequestReadDuringStopIsAnswered: the server now reads the first byte of a request by itself, so the stand-in holds more than one read; its channel has room for them. What it checks is the same.

--- a/pkg/callerconn/memory.go
+++ b/pkg/callerconn/memory.go
@@ -128,7 +128,7 @@
 	}
 	a := &c.account
 	if !a.share.EndRead(0, time.Now()) || a.refused {
-		r = a.refusal().WithCause(err)
+		r = a.refusal()
 	}
 	c.lingers.Store(r.Status == 413 || r.Status == 503)
 	return r
@@ -214,7 +214,7 @@
 func (a *account) refusal() *refusal.Refusal {
 	a.share.Refused()
 	return refusal.NotRun(503, refusal.CodeOverloaded, "the host has no memory for the request").
-		WithRetryAfter(a.memory.budget.RetryAfter(a.wanted, time.Now()))
+		WithRetryAfter(a.memory.budget.RetryAfter(a.wanted, time.Now())).WithCause(errNoMemory)
 }
 
 // bufferSize returns the capacity that the server allocates for n bytes of a body, the
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/entryhost"
 	"github.com/clementineshed/clementineshed/pkg/logging"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/settings"
 )
 
@@ -52,6 +53,7 @@
 	}
 	// Packages without a logger of their own write to the default one.
 	log.Log = logger
+	membudget.SetCollector(int64(s.Limits.Memory))
 	host, err := entryhost.New(entryhost.Options{
 		Settings: s,
 		Log:      logger,
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -192,6 +192,7 @@
 	limits.RequestReadTimeout = l.ReadProgress.Std()
 	limits.WriteProgressTimeout = l.WriteProgress.Std()
 	limits.Concurrency = l.Connections
+	limits.MemoryBytes = int64(l.Memory)
 	return limits
 }
 
--- a/pkg/entryhost/vars.go
+++ b/pkg/entryhost/vars.go
@@ -21,6 +21,7 @@
 	vars.Set("attempts", expvar.Func(func() any { return h.once.Status() }))
 	vars.Set("requests", expvar.Func(func() any { return h.levels.totals() }))
 	vars.Set("refusals", h.gate.Refusals())
+	vars.Set("memory", expvar.Func(func() any { return h.gate.Memory() }))
 	vars.Set("caller_connections_closed_idle", h.gate.ClosedIdle())
 	vars.Set("requests_read_in_close", h.gate.ReadInClose())
 	vars.Set("endpoints_by_state", expvar.Func(func() any { return h.endpointStates() }))
--- a/pkg/gate/answer.go
+++ b/pkg/gate/answer.go
@@ -160,7 +160,7 @@
 			return err
 		}
 		ctx.SetContentType("application/json")
-		ctx.SetBody(body)
+		ctx.Response.SetBodyRaw(body)
 		return nil
 	}
 }
--- a/pkg/gate/chat.go
+++ b/pkg/gate/chat.go
@@ -126,6 +126,8 @@
 	}
 	s := g.newSession(ctx, requestID, c, route, request)
 	s.work.ArrivedAt = arrived
+	// The decoded request does not refer to the body.
+	ctx.Request.ReleaseBody(0)
 	if err := s.start(); err != nil {
 		s.finish(err)
 		return err
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/engineclient"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 )
@@ -144,12 +145,13 @@
 
 // ServiceRequest is a call of a plain service.
 type ServiceRequest struct {
-	RequestID      string
-	Team           string
-	Route          declaration.Route
-	Method         string
-	URI            string
-	ContentType    string
+	RequestID   string
+	Team        string
+	Route       declaration.Route
+	Method      string
+	URI         string
+	ContentType string
+	// Body refers to the server's buffer until the request has been served.
 	Body           []byte
 	IdempotencyKey string
 }
@@ -210,6 +212,9 @@
 	IdleTimeout          time.Duration
 	MaxOutputTokens      int
 	Concurrency          int
+	// MemoryBytes is the memory of the host; zero means that what is held for callers
+	// is not bounded.
+	MemoryBytes int64
 }
 
 // DefaultLimits suit small entry hosts.
@@ -226,6 +231,9 @@
 // KeyCheckInterval is how often the keys of running requests are checked.
 const KeyCheckInterval = 500 * time.Millisecond
 
+// chatPath is the path of model requests.
+const chatPath = "/v1/chat/completions"
+
 // maxAttempts bounds the endpoints that one request may try, in addition to the
 // retry budget.
 const maxAttempts = 4
@@ -249,6 +257,7 @@
 	Options
 	inflight *inflightRequests
 	conns    *callerconn.Tracker
+	memory   *membudget.Budget
 	stopping atomic.Bool
 	// refusals counts refused requests by code.
 	refusals expvar.Map
@@ -257,9 +266,11 @@
 // New returns a gate. Only Run cancels the requests of unusable keys and
 // disconnected callers.
 func New(opts Options) *Gate {
-	return &Gate{Options: opts, inflight: newInflight(), conns: callerconn.NewTracker(func() callerconn.Timeouts {
+	g := &Gate{Options: opts, inflight: newInflight(), conns: callerconn.NewTracker(func() callerconn.Timeouts {
 		return callerconn.Timeouts{Idle: opts.Limits.IdleTimeout, Read: opts.Limits.RequestReadTimeout}
-	})}
+	}), memory: membudget.New(membudget.HostLimit(opts.Limits.MemoryBytes))}
+	g.conns.UseBudget(g.memory, opts.Limits.HeaderBytes)
+	return g
 }
 
 // Run cancels the requests whose key is no longer usable or whose caller has
@@ -292,6 +303,9 @@
 // ReadInClose counts the requests that were read after CloseConnections.
 func (g *Gate) ReadInClose() expvar.Var { return &g.conns.ReadInClose }
 
+// Memory returns the figures of what is held for callers.
+func (g *Gate) Memory() membudget.Stats { return g.memory.Stats() }
+
 // InFlight returns the number of running requests.
 func (g *Gate) InFlight() int { return g.inflight.len() }
 
@@ -304,6 +318,11 @@
 func (g *Gate) Handle(ctx *fasthttp.RequestCtx) {
 	requestID := "req-" + uuid.NewString()
 	ctx.Response.Header.Set("X-Request-Id", requestID)
+	if r := g.conns.BeginServe(ctx); r != nil {
+		g.writeRefusal(ctx, requestID, r)
+		return
+	}
+	defer g.conns.EndServe(ctx)
 	if err := g.route(ctx, requestID); err != nil {
 		g.writeRefusal(ctx, requestID, refusal.From(err))
 	}
@@ -319,7 +338,7 @@
 	}
 	path := string(ctx.Path())
 	switch path {
-	case "/v1/chat/completions":
+	case chatPath:
 		if !ctx.IsPost() {
 			return refusal.NotRun(405, refusal.CodeMethodNotAllowed, "use POST")
 		}
--- a/pkg/gate/server.go
+++ b/pkg/gate/server.go
@@ -1,13 +1,12 @@
 package gate
 
 import (
+	"bytes"
 	"crypto/tls"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/clementineshed/clementineshed/pkg/callerconn"
 )
 
 // closePollInterval is the time between two checks for open connections in a stop.
@@ -62,18 +61,40 @@
 	}
 }
 
+// The number of times that a body is held while its request is served. That of a model
+// request is decoded, joined to a prompt and encoded for the engine; that of a service
+// call is sent from the buffer that it was read into, and copied to be sent.
+const (
+	modelBodyCopies   = 4
+	serviceBodyCopies = 2
+)
+
+// admitBody is the server's callback for a request whose head has been read.
+func (g *Gate) admitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	copies := serviceBodyCopies
+	if path, _, _ := bytes.Cut(header.RequestURI(), []byte("?")); string(path) == chatPath {
+		copies = modelBodyCopies
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: g.conns.AdmitBody(header, g.Limits.BodyBytes, copies)}
+}
+
 // Server returns the HTTP server for callers, which serves a listener of Listener.
 func (g *Gate) Server() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               g.Handle,
-		ErrorHandler:          g.handleReadError,
-		ConnState:             g.conns.OnStateChange,
-		ReadBufferSize:        g.Limits.HeaderBytes,
-		MaxRequestBodySize:    g.Limits.BodyBytes,
-		Concurrency:           g.Limits.Concurrency,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                discardLogger{},
+		Handler:        g.Handle,
+		ErrorHandler:   g.handleReadError,
+		ConnState:      g.conns.OnStateChange,
+		HeaderReceived: g.admitBody,
+		ReadBufferSize: g.Limits.HeaderBytes,
+		// Without ReduceMemoryUsage each idle connection holds a buffer of this size.
+		ReduceMemoryUsage: true,
+		// A form would be read into temporary files and encoded again.
+		DisablePreParseMultipartForm: true,
+		MaxRequestBodySize:           g.Limits.BodyBytes,
+		Concurrency:                  g.Limits.Concurrency,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		Logger:                       discardLogger{},
 	}
 }
 
@@ -86,6 +107,6 @@
 
 // handleReadError answers a request that could not be read.
 func (g *Gate) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	g.writeRefusal(ctx, "none", callerconn.ReadRefusal(err))
+	g.writeRefusal(ctx, "none", g.conns.ReadRefusal(ctx, err))
 	ctx.SetConnectionClose()
 }
--- a/pkg/gate/service.go
+++ b/pkg/gate/service.go
@@ -52,7 +52,7 @@
 	}
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
-	ctx.SetBody(answer.Body)
+	ctx.Response.SetBodyRaw(answer.Body)
 	return nil
 }
 
@@ -73,7 +73,7 @@
 		Method:         string(ctx.Method()),
 		URI:            string(ctx.RequestURI()),
 		ContentType:    string(ctx.Request.Header.ContentType()),
-		Body:           append([]byte(nil), ctx.PostBody()...),
+		Body:           ctx.PostBody(),
 		IdempotencyKey: string(ctx.Request.Header.Peek("Idempotency-Key")),
 	}
 	if request.atMostOnce() && request.IdempotencyKey == "" {
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -113,8 +113,9 @@
 	return ServiceAnswer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
 		RetryAfter:  retryafter.OfResponse(resp, time.Now()),
+		// The buffer is not used again for another answer.
+		Body: resp.SwapBody(nil),
 	}, nil
 }
 
--- a/pkg/gate/stop_test.go
+++ b/pkg/gate/stop_test.go
@@ -8,7 +8,9 @@
 	"time"
 )
 
-// heldListener holds the goroutines that have read a request while hold is set.
+// heldListener holds the goroutines that have read a request while hold is set. The
+// server reads the first byte of a request by itself, so that it sends to held more than
+// once.
 type heldListener struct {
 	*net.TCPListener
 	hold, held, release chan struct{}
@@ -46,7 +48,7 @@
 // which then ends without an answer or a refusal.
 func TestRequestReadDuringStopIsAnswered(t *testing.T) {
 	tg := New(newTestGate(t, DefaultLimits).Options)
-	l := &heldListener{TCPListener: listen(t).(*net.TCPListener), hold: make(chan struct{}), held: make(chan struct{}), release: make(chan struct{})}
+	l := &heldListener{TCPListener: listen(t).(*net.TCPListener), hold: make(chan struct{}), held: make(chan struct{}, 8), release: make(chan struct{})}
 	server := tg.Server()
 	served := make(chan struct{})
 	go func() { defer close(served); _ = server.Serve(tg.Listener(l, nil)) }()
--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -7,11 +7,17 @@
 
 import (
 	"container/list"
+	"runtime/debug"
 	"sync"
 	"time"
 )
 
 const (
+	// collectorPercent and collectorShare are what the garbage collector of a process
+	// that has a memory of its own is set to: the growth of the heap before a collection,
+	// in percent, and the part of the memory that it aims to stay below.
+	collectorPercent = 40
+	collectorShare   = 0.7
 	// hostShare is the part of a host's memory that is the budget. The collector aims
 	// at 0.7 of the memory; the rest of that holds the heap of the host itself, the
 	// stacks of the connections and the garbage between two collections.
@@ -44,17 +50,28 @@
 	defaultRetryAfter = time.Second
 )
 
+// SetCollector sets the garbage collector of a process with the given memory. Memory at
+// its peak is what the platform charges a host for, and kills it for.
+func SetCollector(memoryBytes int64) {
+	debug.SetGCPercent(collectorPercent)
+	debug.SetMemoryLimit(int64(collectorShare * float64(memoryBytes)))
+}
+
 // HostLimit returns the budget of a host with the given memory.
 func HostLimit(memoryBytes int64) int64 { return int64(hostShare * float64(memoryBytes)) }
 
 // Stats are the figures of a budget.
 type Stats struct {
 	// Limit is the budget, Held the bytes charged now and Peak the most that were.
-	Limit, Held, Peak int64
+	Limit int64 `json:"limit_bytes"`
+	Held  int64 `json:"held_bytes"`
+	Peak  int64 `json:"held_peak_bytes"`
 	// Refused counts the requests that were refused, EvictedReads the requests that
 	// were given up while they were read, EvictedWrites the answers that were given up
 	// because their callers did not read them.
-	Refused, EvictedReads, EvictedWrites int64
+	Refused       int64 `json:"requests_refused"`
+	EvictedReads  int64 `json:"reads_evicted"`
+	EvictedWrites int64 `json:"answers_evicted"`
 }
 
 // Budget bounds the bytes held. It is safe for concurrent use. A nil budget has no
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -73,7 +73,9 @@
 	BodyBytes     Bytes    `json:"body_bytes" unit:"bytes" default:"8MiB" help:"body of one request"`
 	ReadProgress  Duration `json:"read_progress" unit:"duration" default:"10s" help:"time without a byte of a request after which the connection is closed"`
 	WriteProgress Duration `json:"write_progress" unit:"duration" default:"20s" help:"time without progress in writing to a caller after which its work is cancelled"`
-	Connections   int      `json:"connections" unit:"count" default:"20000" help:"open connections from callers"`
+	// Memory does not limit the process itself, but what it holds for callers.
+	Memory      Bytes `json:"memory" unit:"bytes" default:"2GiB" help:"memory of the host; 0.3 of it is held for callers at most: requests being read, in flight, and answers"`
+	Connections int   `json:"connections" unit:"count" default:"20000" help:"open connections from callers"`
 	// BalancerDelay keeps the listener open on a planned stop, because the load
 	// balancer sends new connections until it has seen /readyz fail.
 	BalancerDelay Duration `json:"balancer_delay" unit:"duration" default:"10s" help:"time between failing /readyz and closing the listener on a planned stop"`
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -31,6 +31,9 @@
 	minBodyBytes   = 1 << 10
 	maxBodyBytes   = 1 << 30
 	maxConnections = 1_000_000
+	// The process itself takes some 50 MB.
+	minMemory = 128 << 20
+	maxMemory = 1 << 40
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -174,6 +177,7 @@
 func (v *validator) limits(l Limits) {
 	v.bytes("limits.header_bytes", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
 	v.bytes("limits.body_bytes", l.BodyBytes, minBodyBytes, maxBodyBytes)
+	v.bytes("limits.memory", l.Memory, minMemory, maxMemory)
 	v.duration("limits.read_progress", l.ReadProgress, minTimeout, maxTimeout)
 	v.duration("limits.write_progress", l.WriteProgress, minTimeout, maxTimeout)
 	v.duration("limits.balancer_delay", l.BalancerDelay, 0, maxTimeout)
