--- a/pkg/callerconn/limit.go
+++ b/pkg/callerconn/limit.go
@@ -96,7 +96,7 @@
 		if c == nil {
 			return false
 		}
-		if c.evict(l == &t.limit.idle) {
+		if c.closeForRoom(l == &t.limit.idle) {
 			t.remove(c)
 			return true
 		}
@@ -170,9 +170,9 @@
 	return true
 }
 
-// evict closes the connection if it is still idle, or else if its head is still
+// closeForRoom closes the connection if it is still idle, or else if its head is still
 // incomplete. An idle one is kept if bytes have arrived.
-func (c *conn) evict(idle bool) bool {
+func (c *conn) closeForRoom(idle bool) bool {
 	c.mu.Lock()
 	eligible := c.waiting && connstate.Of(c.Conn) != connstate.Readable
 	if !idle {
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -198,6 +198,7 @@
 	limits.RequestReadTimeout = l.ReadProgress.Std()
 	limits.WriteProgressTimeout = l.WriteProgress.Std()
 	limits.Concurrency = min(l.Connections, shares.Callers)
+	limits.MemoryBytes = int64(l.Memory)
 	return limits
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/clementineshed/clementineshed/pkg/declaration"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/engineclient"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/quota"
 	"github.com/clementineshed/clementineshed/pkg/quotashare"
@@ -147,12 +148,13 @@
 
 // ServiceRequest is a call of a plain service.
 type ServiceRequest struct {
-	RequestID      string
-	Team           string
-	Route          declaration.Route
-	Method         string
-	URI            string
-	ContentType    string
+	RequestID   string
+	Team        string
+	Route       declaration.Route
+	Method      string
+	URI         string
+	ContentType string
+	// Body refers to the server's buffer until the request has been served.
 	Body           []byte
 	IdempotencyKey string
 }
@@ -220,6 +222,9 @@
 	IdleTimeout          time.Duration
 	MaxOutputTokens      int
 	Concurrency          int
+	// MemoryBytes is the memory of the host; zero means that what is held for callers
+	// is not bounded.
+	MemoryBytes int64
 }
 
 // DefaultLimits suit small entry hosts.
@@ -236,6 +241,9 @@
 // KeyCheckInterval is how often the keys of running requests are checked.
 const KeyCheckInterval = 500 * time.Millisecond
 
+// chatPath is the path of model requests.
+const chatPath = "/v1/chat/completions"
+
 // maxAttempts bounds the endpoints that one request may try, in addition to the
 // retry budget.
 const maxAttempts = 4
@@ -264,6 +272,7 @@
 	writes   callerconn.WriteProgress
 	// accepting is the listener for callers, nil before Listener is called.
 	accepting atomic.Pointer[acceptretry.Listener]
+	memory    *membudget.Budget
 	stopping  atomic.Bool
 	// refusals counts refused requests by code.
 	refusals expvar.Map
@@ -274,7 +283,8 @@
 func New(opts Options) *Gate {
 	g := &Gate{Options: opts, inflight: newInflight(), conns: callerconn.NewTracker(func() callerconn.Timeouts {
 		return callerconn.Timeouts{Idle: opts.Limits.IdleTimeout, Read: opts.Limits.RequestReadTimeout}
-	})}
+	}), memory: membudget.New(membudget.HostLimit(opts.Limits.MemoryBytes))}
+	g.conns.UseBudget(g.memory, opts.Limits.HeaderBytes)
 	g.conns.Limit(opts.Limits.Concurrency, opts.Log)
 	if opts.Services != nil {
 		opts.Services.freeDescriptor = g.FreeDescriptor
@@ -342,6 +352,9 @@
 	return counts
 }
 
+// Memory returns the figures of what is held for callers.
+func (g *Gate) Memory() membudget.Stats { return g.memory.Stats() }
+
 // InFlight returns the number of running requests.
 func (g *Gate) InFlight() int { return g.inflight.len() }
 
@@ -354,6 +367,11 @@
 func (g *Gate) Handle(ctx *fasthttp.RequestCtx) {
 	requestID := "req-" + uuid.NewString()
 	ctx.Response.Header.Set("X-Request-Id", requestID)
+	if r := g.conns.BeginServe(ctx); r != nil {
+		g.writeRefusal(ctx, requestID, r)
+		return
+	}
+	defer g.conns.EndServe(ctx)
 	if err := g.route(ctx, requestID); err != nil {
 		g.writeRefusal(ctx, requestID, refusal.From(err))
 	}
@@ -369,7 +387,7 @@
 	}
 	path := string(ctx.Path())
 	switch path {
-	case "/v1/chat/completions":
+	case chatPath:
 		if !ctx.IsPost() {
 			return refusal.NotRun(405, refusal.CodeMethodNotAllowed, "use POST")
 		}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -21,6 +21,7 @@
 	"github.com/clementineshed/clementineshed/pkg/keyedlog"
 	"github.com/clementineshed/clementineshed/pkg/loadshare"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/placement"
@@ -50,9 +51,6 @@
 	// and for metrics.
 	requestReadTimeout  = 5 * time.Second
 	operatorIdleTimeout = 20 * time.Second
-	// bodyBudgetShare is the part of the host's memory for answers that are read
-	// into memory at the same time. Endpoints in trouble may send without end.
-	bodyBudgetShare = 0.125
 )
 
 // Adapter connects a host to its platform. All fields must be set.
@@ -106,6 +104,7 @@
 	// callersListener accepts the connections of callers. It is set by Run.
 	callersListener atomic.Pointer[acceptretry.Listener]
 	writes          callerconn.WriteProgress
+	memory          *membudget.Budget
 	// followers holds one follower per topic. It is not changed after New.
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
@@ -126,11 +125,11 @@
 
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
-	h := &Host{settings: settings, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), pace: pace.NewLimiter(settings.Host),
+	memory := membudget.New(membudget.HostLimit(settings.MemoryBytes))
+	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), pace: pace.NewLimiter(settings.Host),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
-	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints,
-		BodyBudget: int64(bodyBudgetShare * float64(settings.MemoryBytes))})
+	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory})
 	h.models = placement.NewModels(h.pace)
 	h.balancer = placement.NewBalancer(settings.Domain)
 	h.balancer.SetLimiter(h.pace)
@@ -147,6 +146,7 @@
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.conns.Limit(h.shares.Callers, logger)
 	h.writes.Timeout = func() time.Duration { return writeProgressTimeout }
+	h.conns.UseBudget(memory, maxHeaderBytes)
 	h.followers = map[string]*keyedlog.Follower{
 		adapter.ConfigurationTopic: h.configurationFollower(),
 		adapter.EndpointsTopic:     h.endpointsFollower(),
@@ -302,6 +302,7 @@
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	stateAt, outage := time.Now(), false
+	var memory memoryLog
 	for {
 		select {
 		case <-ctx.Done():
@@ -311,6 +312,7 @@
 				stateAt = now
 				h.logState()
 			}
+			memory.update(h.memory.Stats(), now, h.log)
 			h.client.Sweep()
 			outage = h.logOutage(outage, now)
 			for _, id := range h.fleet.Expire(now) {
@@ -323,7 +325,7 @@
 
 func (h *Host) logState() {
 	fields := log.Fields{"ready": h.ready(), "leads": h.leads(), "hosts_heard": h.liveHosts(), "hosts_known": h.knownHosts(),
-		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight()}
+		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight(), "memory_held": h.memory.Stats().Held}
 	h.addQuotaState(fields)
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) { fields["store"+strings.ReplaceAll(kv.Key, "/", "_")] = kv.Value.String() })
 	h.log.WithFields(fields).Info("host_state")
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -64,6 +64,13 @@
 	}
 	line("caller_connections", h.conns.Open())
 	line("caller_connections_closed_idle", h.conns.ClosedIdle.Value())
+	memory := h.memory.Stats()
+	line("memory_budget_bytes", memory.Limit)
+	line("memory_held_bytes", memory.Held)
+	line("memory_held_peak_bytes", memory.Peak)
+	line("memory_requests_refused", memory.Refused)
+	line("memory_reads_evicted", memory.EvictedReads)
+	line("memory_answers_evicted", memory.EvictedWrites)
 	line("requests_read_in_close", h.conns.ReadInClose.Value())
 	h.connectionMetrics(line)
 	line("connections_dialed", h.client.Dials())
