placement: compute shared parts in demand at more engines

Cause: until one engine has computed a new shared part it cannot be copied, and the constant cost of computing it again made all requests for it queue at that engine. Hosts that use a new part at the same time also each reported the work of computing it, so that the engine seemed to have a queue of seconds.

Change: the cost of computing a part again counts less the more requests have used it in about the last second. A reported prefill counts without the parts that the engine is already known to hold or to compute.

--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -14,7 +14,7 @@
 const (
 	// recomputeWeight is the extra cost, relative to the prefill time, of tokens
 	// that another engine holds or is computing: to compute them again takes
-	// capacity from other requests.
+	// capacity from other requests. It is less for parts in demand, see demand.
 	recomputeWeight = 0.7
 	// crossDomainPenalty is the least advantage for which an engine in another
 	// failure domain is preferred.
@@ -75,11 +75,12 @@
 		return Choice{}, false
 	}
 	source, longest, pending := m.longestPrefix(job, health, now)
+	weight := recomputeWeight * m.demand.share(job.Parts, now)
 	s := m.newSelection(candidates, now)
 	for i, e := range candidates {
 		c := m.prefillChoice(e, job, source, longest, now)
 		recomputed := max(0, pending-(job.PromptTokens-c.Uncached))
-		cost := c.Expected() + time.Duration(recomputeWeight*float64(m.speed.prefillTime(recomputed, e.timeFactor.value)))
+		cost := c.Expected() + time.Duration(weight*float64(m.speed.prefillTime(recomputed, e.timeFactor.value)))
 		cost += tieBreak(job, e)
 		s.add(i, c, cost)
 	}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -92,6 +92,8 @@
 	// all hosts break ties alike.
 	order []*engine
 	work  workMeter
+	// demand counts the uses of shared parts.
+	demand demand
 	// streamTime is the smoothed time for which a stream takes a slot. It is
 	// measured by this host's streams that found a free slot.
 	streamTime time.Duration
@@ -99,7 +101,7 @@
 
 // NewModel returns a model without engines.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), streamTime: defaultStreamTime}
+	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), demand: newDemand(), streamTime: defaultStreamTime}
 }
 
 // SetEngineProperties sets the declared properties of the engines. A CacheTokens
@@ -200,6 +202,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e := m.engines[report.EngineID]; e != nil {
+		if report.Role == endpoint.RolePrefill {
+			report.WorkMicros = min(report.WorkMicros, m.remainingWork(e, report.Parts, now).Microseconds())
+		}
 		m.applySend(e, report, now)
 		if report.Role == endpoint.RoleDecode {
 			e.peerStreamEnds = append(e.peerStreamEnds, now.Add(m.streamTime))
@@ -207,6 +212,22 @@
 	}
 }
 
+// remainingWork returns the work of a prompt of the parts at an engine, without those
+// that it holds or is computing. Hosts that use a new part at the same time do not know
+// of each other yet, and each reports the work of computing it. The engine computes it
+// once. It must be called with mu held.
+func (m *Model) remainingWork(e *engine, parts []Part, now time.Time) time.Duration {
+	_, known := e.cache.prefix(parts, now)
+	if known == 0 {
+		return maxQueueWait
+	}
+	left := -known
+	for _, p := range parts {
+		left += p.Tokens
+	}
+	return m.speed.prefillTime(left, e.timeFactor.value)
+}
+
 // ApplyCached records that an engine holds parts, as it says itself.
 func (m *Model) ApplyCached(engineID string, parts []Part, now time.Time) {
 	m.mu.Lock()
@@ -236,6 +257,7 @@
 		e.linkFreeAt = later(e.linkFreeAt, now).Add(work)
 		return e.cache.add(report.Parts, e.linkFreeAt)
 	}
+	m.demand.add(report.Parts, now)
 	e.prefillFreeAt = later(e.prefillFreeAt, now).Add(work)
 	return e.cache.add(report.Parts, e.prefillFreeAt.Add(m.speed.latency))
 }
