dispatch: limit requests to endpoints that have just started or recovered

Cause: on the product's own path, endpoints that join, restart or end a pause are chosen by the load that they report, which says nothing about how fast they answer yet.

Change: the dispatcher applies pace.Limiter as a preference of the router: endpoints with a full window are left out if another one is expected to meet the class's limits. Hosts of this path do not exchange what they learn; each assumes that the others get answers as it does. Limits are logged and shown as the metric endpoint_windows.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
 	"github.com/clementineshed/clementineshed/pkg/fairness"
 	"github.com/clementineshed/clementineshed/pkg/gate"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/prefix"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
@@ -34,15 +35,15 @@
 
 // Options are the dependencies of a Dispatcher.
 type Options struct {
-	// Domain is this host's failure domain.
-	Domain string
-	Clock  clockwork.Clock
+	// Host is this host's name, Domain its failure domain.
+	Host, Domain string
+	Clock        clockwork.Clock
 	// Seed seeds the random choices, so that tests are reproducible.
 	Seed uint64
 	// Delays are the one-way delays between failure domains.
 	Delays routing.Delays
-	// Router defaults to routing.DefaultRouter with the Reachable preference,
-	// Policy to admission.DefaultPredictive.
+	// Router defaults to routing.DefaultRouter with the preferences Reachable and
+	// Paced, Policy to admission.DefaultPredictive.
 	Router admission.Router
 	Policy admission.Policy
 	// OnOffered is called with the work of each new request, in engine seconds,
@@ -54,6 +55,9 @@
 	// OnPaused is called with an endpoint that wants no requests of this host for the
 	// time d. It may be nil.
 	OnPaused func(e endpoint.Endpoint, d time.Duration)
+	// OnLimit is called, by Run, with each begin and end of a limit of an endpoint
+	// that has just started or recovered. It may be nil.
+	OnLimit func(t pace.Transition)
 }
 
 // instance is one instance of an endpoint.
@@ -75,6 +79,8 @@
 	onDraining func(endpoint.Endpoint)
 	onPaused   func(endpoint.Endpoint, time.Duration)
 	pauses     retryafter.Pauses[instance]
+	pacer      *pacer
+	onLimit    func(pace.Transition)
 
 	// snapshotMu serializes refreshSnapshot. statuses and hosts are those of the last
 	// Update, guarded by snapshotMu.
@@ -99,7 +105,7 @@
 func New(opts Options) *Dispatcher {
 	if opts.Router == nil {
 		router := routing.DefaultRouter()
-		router.Preferences = append([]routing.Filter{routing.Reachable{}}, router.Preferences...)
+		router.Preferences = append([]routing.Filter{routing.Reachable{}, routing.Paced{}}, router.Preferences...)
 		opts.Router = router
 	}
 	if opts.Policy == nil {
@@ -123,6 +129,8 @@
 		rng:        rand.New(rand.NewPCG(opts.Seed, 1)),
 		waiting:    map[*admission.Request]chan admission.Outcome{},
 		suspects:   map[string]int{},
+		pacer:      newPacer(opts.Host),
+		onLimit:    opts.OnLimit,
 	}
 	d.controller = admission.NewController(admission.Config{
 		Router:  opts.Router,
@@ -177,6 +185,7 @@
 // hosts is the number of entry hosts that send to the endpoints. PausedUntil is set by
 // the dispatcher.
 func (d *Dispatcher) Update(statuses []endpoint.Status, hosts int) {
+	d.pacer.update(statuses, hosts, d.clock.Now())
 	d.snapshotMu.Lock()
 	d.statuses, d.hosts = statuses, hosts
 	d.snapshotMu.Unlock()
@@ -202,6 +211,7 @@
 	}
 	d.controller.SetSnapshot(routing.NewSnapshot(routing.View{
 		Domain: d.domain, Hosts: d.hosts, Endpoints: statuses, Sends: d.sends, Trends: d.trends, Delays: d.delays,
+		Full: func(n int, id func(int) string) []bool { return d.pacer.full(n, id, d.clock.Now()) },
 	}))
 }
 
@@ -211,6 +221,7 @@
 		// The snapshot leaves out the endpoint already; Update takes over a later end.
 		return
 	}
+	d.pacer.limit(e, pace.Paused, d.clock.Now())
 	d.refreshSnapshot()
 	if d.onPaused != nil {
 		d.onPaused(e, t)
@@ -228,6 +239,7 @@
 			return
 		case <-ticker.Chan():
 			d.poll()
+			d.reportLimits()
 		}
 		if now := d.clock.Now(); now.Sub(lastSweep) >= sweepInterval {
 			d.ledger.Sweep(now)
@@ -280,6 +292,8 @@
 	if work.Exclusive {
 		d.countSuspect(a.endpoint.ID, 1)
 	}
+	a.sentAt, a.expected = now, outcome.Plan.Estimate.FirstToken
+	d.pacer.begin(a.endpoints())
 	return a, nil
 }
 
@@ -428,6 +442,18 @@
 	// delivered is the number of output tokens delivered so far, including those
 	// of earlier attempts.
 	delivered int
+	// sentAt is when the request was assigned, expected the expected time to the first
+	// token.
+	sentAt   time.Time
+	expected time.Duration
+}
+
+// endpoints returns the IDs of the endpoints that run the request.
+func (a *assignment) endpoints() []string {
+	if a.prefill != nil {
+		return []string{a.prefill.ID, a.endpoint.ID}
+	}
+	return []string{a.endpoint.ID}
 }
 
 // Endpoint implements gate.Assignment.
@@ -445,7 +471,12 @@
 func (a *assignment) Priority() int { return a.request.Priority }
 
 // TokenDelivered implements gate.Assignment.
-func (a *assignment) TokenDelivered() { a.delivered++ }
+func (a *assignment) TokenDelivered() {
+	if a.delivered == a.request.Produced {
+		a.dispatcher.pacer.answered(a.endpoints(), a.sentAt, a.expected, a.dispatcher.clock.Now())
+	}
+	a.delivered++
+}
 
 // CannotMeetTarget implements gate.Assignment.
 func (a *assignment) CannotMeetTarget(elapsed, perToken time.Duration) bool {
@@ -463,6 +494,7 @@
 // Done implements gate.Assignment.
 func (a *assignment) Done(result gate.Result) {
 	d := a.dispatcher
+	d.pacer.end(a, result.Err, d.clock.Now())
 	if a.notRun(result.Err) {
 		d.controller.NotRun(a.request, d.clock.Now())
 	} else {
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -23,6 +23,7 @@
 	"github.com/clementineshed/clementineshed/pkg/gate"
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/once"
+	"github.com/clementineshed/clementineshed/pkg/pace"
 	"github.com/clementineshed/clementineshed/pkg/roles"
 	"github.com/clementineshed/clementineshed/pkg/routing"
 	"github.com/clementineshed/clementineshed/pkg/settings"
@@ -158,7 +159,7 @@
 	}
 	h.engines = engineclient.New(engineclient.Options{TLS: h.tls.endpointsTLS()})
 	h.dispatcher = dispatch.New(dispatch.Options{
-		Domain: h.settings.Host.Domain, Clock: h.clock, Seed: uint64(seed), Delays: routing.UniformDelay(interDomainDelay),
+		Host: h.settings.Host.Name, Domain: h.settings.Host.Domain, Clock: h.clock, Seed: uint64(seed), Delays: routing.UniformDelay(interDomainDelay),
 		OnOffered: func(work roles.Work, tolerant bool) { h.authority.addOffered(work, tolerant) },
 		OnDraining: func(e endpoint.Endpoint) {
 			h.platform.table.Notify(endpoint.Notice{ID: e.ID, Instance: e.Instance, Kind: endpoint.NoticeDraining})
@@ -166,6 +167,15 @@
 		OnPaused: func(e endpoint.Endpoint, d time.Duration) {
 			h.log.WithFields(log.Fields{"step": "read answer", "endpoint": e.ID, "peer": e.Address, "pause_ms": d.Milliseconds()}).Info("endpoint asked for a pause; no requests are sent to it")
 		},
+		OnLimit: func(t pace.Transition) {
+			fields := log.Fields{"endpoint": t.ID, "service": t.Service, "reason": t.Reason.String()}
+			if t.Limited {
+				h.log.WithFields(fields).Info("endpoint_limited")
+				return
+			}
+			fields["cause"], fields["in_time"], fields["late"], fields["refused"] = t.Cause, t.Counts.Good, t.Counts.Late, t.Counts.Refused
+			h.log.WithFields(fields).Info("endpoint_limit_ended")
+		},
 	})
 	h.authority = newAuthority(h, seed, opts.Roles)
 	h.usage = newUsageReporter(h, seed)
--- a/pkg/entryhost/vars.go
+++ b/pkg/entryhost/vars.go
@@ -24,6 +24,7 @@
 	vars.Set("caller_connections_closed_idle", h.gate.ClosedIdle())
 	vars.Set("requests_read_in_close", h.gate.ReadInClose())
 	vars.Set("endpoints_by_state", expvar.Func(func() any { return h.endpointStates() }))
+	vars.Set("endpoint_windows", expvar.Func(func() any { return h.endpointWindows() }))
 	vars.Set("peers_by_state", expvar.Func(func() any { return h.peerStates() }))
 	vars.Set("leases_held", expvar.Func(func() any { return len(h.heldLeases()) }))
 	vars.Set("confirmed_age_ms", expvar.Func(func() any { return h.confirmedAgeMillis() }))
@@ -41,6 +42,19 @@
 	return counts
 }
 
+// endpointWindows returns the windows of the limited endpoints by reason and ID.
+func (h *Host) endpointWindows() map[string]map[string]float64 {
+	windows := map[string]map[string]float64{}
+	for _, s := range h.dispatcher.Limits() {
+		reason := s.Reason.String()
+		if windows[reason] == nil {
+			windows[reason] = map[string]float64{}
+		}
+		windows[reason][s.ID] = s.Window
+	}
+	return windows
+}
+
 // peerStates counts the other hosts by the state that this host sees.
 func (h *Host) peerStates() map[string]int {
 	counts := map[string]int{}
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -152,7 +152,9 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	hosts       int
+	hosts int
+	// unshared says that hosts do not exchange reports.
+	unshared    bool
 	limits      map[string]*limit
 	ended       map[string]ended
 	typical     map[string]time.Duration
@@ -164,6 +166,14 @@
 	return &Limiter{host: host, hosts: 1, limits: map[string]*limit{}, ended: map[string]ended{}, typical: map[string]time.Duration{}}
 }
 
+// NewUnshared returns a limiter for hosts that do not exchange reports. Each assumes that
+// the other hosts get answers as it does.
+func NewUnshared(host string) *Limiter {
+	l := NewLimiter(host)
+	l.unshared = true
+	return l
+}
+
 // SetHosts sets the number of live hosts, including this one.
 func (l *Limiter) SetHosts(n int) {
 	l.mu.Lock()
@@ -276,6 +286,9 @@
 func (l *Limiter) observe(s *limit, c Counts, sentAt, now time.Time) {
 	s.unreported = s.unreported.plus(c)
 	s.changed = true
+	if l.unshared {
+		c.Good *= l.hosts
+	}
 	l.apply(s, c, !sentAt.Before(s.shrunkAt), causeAnswers, now)
 }
 
--- a/pkg/routing/filters.go
+++ b/pkg/routing/filters.go
@@ -90,6 +90,32 @@
 	return candidates
 }
 
+// Paced removes endpoints that have just started or recovered and are to get no more
+// requests, if one of the others is expected to meet the class's limits.
+type Paced struct{}
+
+// Filter implements Filter.
+func (Paced) Filter(req Request, snap *Snapshot, candidates []Candidate) []Candidate {
+	if snap.Full == nil {
+		return candidates
+	}
+	full := snap.Full(len(candidates), func(i int) string { return snap.Endpoints[candidates[i].Index].ID })
+	inTime := false
+	for i, c := range candidates {
+		inTime = inTime || full != nil && !full[i] && c.Estimate.Meets(req)
+	}
+	if !inTime {
+		return candidates
+	}
+	kept := candidates[:0]
+	for i, c := range candidates {
+		if !full[i] {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
 // Meets reports whether the estimate is within the request's first-token and
 // between-token limits. A limit of zero is always met.
 func (e Estimate) Meets(req Request) bool {
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -44,6 +44,10 @@
 	// Trends holds the smoothed load. If it is nil, the time between tokens is
 	// estimated from the latest report alone.
 	Trends *Trends
+	// Full returns which of n endpoints are to get no more requests because they have
+	// just started or recovered, nil if none; see pace.Limiter. It may be nil, and must
+	// be safe for concurrent use.
+	Full func(n int, id func(i int) string) []bool
 	// Delays must not be nil.
 	Delays Delays
 }
