--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -97,6 +97,8 @@
 	// all hosts break ties alike.
 	order []*engine
 	work  workMeter
+	// demand counts the uses of shared parts.
+	demand demand
 	// streamTime is the smoothed time for which a stream takes a slot. It is
 	// measured by this host's streams that found a free slot.
 	streamTime time.Duration
@@ -104,7 +106,7 @@
 
 // NewModel returns a model without engines.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), decodeSpeed: decodeSpeed{outputs: map[int]float64{}}, streamTime: defaultStreamTime}
+	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), demand: newDemand(), decodeSpeed: decodeSpeed{outputs: map[int]float64{}}, streamTime: defaultStreamTime}
 }
 
 // SetEngineProperties sets the declared properties of the engines. A CacheTokens
@@ -206,6 +208,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e := m.engines[report.EngineID]; e != nil {
+		if report.Role == endpoint.RolePrefill {
+			report.WorkMicros = min(report.WorkMicros, m.remainingWork(e, report.Parts, now).Microseconds())
+		}
 		m.applySend(e, report, now)
 		if report.Role == endpoint.RoleDecode {
 			e.peerStreamEnds = append(e.peerStreamEnds, now.Add(m.streamTime))
@@ -213,6 +218,22 @@
 	}
 }
 
+// remainingWork returns the work of a prompt of the parts at an engine, without those
+// that it holds or is computing. Hosts that use a new part at the same time do not know
+// of each other yet, and each reports the work of computing it. The engine computes it
+// once. It must be called with mu held.
+func (m *Model) remainingWork(e *engine, parts []Part, now time.Time) time.Duration {
+	_, known := e.cache.prefix(parts, now)
+	if known == 0 {
+		return maxQueueWait
+	}
+	left := -known
+	for _, p := range parts {
+		left += p.Tokens
+	}
+	return m.speed.prefillTime(left, e.timeFactor.value)
+}
+
 // ApplyCached records that an engine holds parts, as it says itself.
 func (m *Model) ApplyCached(engineID string, parts []Part, now time.Time) {
 	m.mu.Lock()
@@ -242,6 +263,7 @@
 		e.linkFreeAt = later(e.linkFreeAt, now).Add(work)
 		return e.cache.add(report.Parts, e.linkFreeAt)
 	}
+	m.demand.add(report.Parts, now)
 	e.prefillFreeAt = later(e.prefillFreeAt, now).Add(work)
 	return e.cache.add(report.Parts, e.prefillFreeAt.Add(m.speed.latency))
 }
