placement: a limited plain endpoint gets requests that would wait elsewhere

Cause: the limit was a cost in requests in flight, and the cost of an endpoint is now a time. Change: a limited endpoint is chosen if it is the better one and the best of the others has no free slot. The test states the six slots of its endpoints, which the balancer did not know before.

--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -256,6 +256,9 @@
 // requests queue at the others or no other is left.
 func TestBalancerLimitGivesWay(t *testing.T) {
 	members := replayFleet(3, 0)
+	for i := range members {
+		members[i].Slots = 6
+	}
 	b, l := NewBalancer("d0"), pace.NewLimiter("h")
 	b.SetLimiter(l)
 	l.SetHosts(1000)
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// fullWindowCost is the cost of an endpoint whose window is full, in service times.
-	// It is more than that of another domain, so that such an endpoint only gets
-	// requests that would otherwise wait.
-	fullWindowCost = 4
 	// crossDomainTime is the cost of an endpoint in another failure domain: the longer
 	// way, and the bytes between the domains. In an idle service it is idleDomainCost
 	// service times, as much as one and a half requests of this host and more than the
@@ -232,7 +228,7 @@
 	busy, unseen := s.load(members, now)
 	spread := time.Duration(unseenWeight * unseen * float64(s.meanTime))
 	crossDomain := max(crossDomainTime, time.Duration(idleDomainCost*(1-(busy+unseen)/busyShare)*float64(s.meanTime)))
-	best, bestCost := -1, time.Duration(0)
+	var open, limited cheapest
 	for i := range members {
 		m := members[(i+b.rotation)%len(members)]
 		if m.State != endpoint.StateLive || slices.Contains(exclude, m.ID) || now.Before(health.PausedUntil(m)) {
@@ -246,22 +242,44 @@
 			cost += ejectedTime
 		}
 		if full[m.ID] {
-			cost += fullWindowCost * s.meanTime
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost = (i+b.rotation)%len(members), cost
+			limited.add(m, cost)
+		} else {
+			open.add(m, cost)
 		}
 	}
-	if best < 0 {
+	m, found := open.member, open.found
+	if limited.found && (!found || limited.cost < open.cost && s.queues(m, now)) {
+		m, found = limited.member, true
+	}
+	if !found {
 		return fleet.Member{}, false
 	}
-	m := members[best]
 	e := s.endpoint(m)
 	work := s.timeOf(e)
 	e.own = append(e.own, plainSend{sentAt: now, expectedAt: now.Add(e.wait(work, now) + work)})
 	return m, true
 }
 
+// cheapest keeps the member with the least cost.
+type cheapest struct {
+	member fleet.Member
+	cost   time.Duration
+	found  bool
+}
+
+func (c *cheapest) add(m fleet.Member, cost time.Duration) {
+	if !c.found || cost < c.cost {
+		c.member, c.cost, c.found = m, cost, true
+	}
+}
+
+// queues reports whether a request would wait for a slot of the endpoint. One with a full
+// window gets only requests that would otherwise wait.
+func (s *plainService) queues(m fleet.Member, now time.Time) bool {
+	e := s.endpoint(m)
+	return e.running(now) >= e.slots
+}
+
 // completionTime returns the expected time to the answer of an endpoint, and more for
 // each of its slots that is taken and for each request of this host that it has.
 func (s *plainService) completionTime(m fleet.Member, now time.Time) time.Duration {
