placement: a limited plain endpoint is preferred to an ejected one

Cause: found by reading the change before; the ejected one has no queue and was kept. Change: the choice between both asks for the ejection first. The test has the case.

--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -281,4 +281,14 @@
 	if m, ok := b.Pick(members, []string{"e01", "e02"}, noneEjected{}, replayStart); !ok || m.ID != "e00" {
 		t.Errorf("%q was chosen, only e00 is left", m.ID)
 	}
+	if m, _ := b.Pick(members, nil, ejectedExcept("e00"), replayStart); m.ID != "e00" {
+		t.Errorf("%q was chosen, all but e00 are ejected", m.ID)
+	}
 }
+
+// ejectedExcept is the condition in which all endpoints but one are ejected.
+type ejectedExcept string
+
+func (e ejectedExcept) Ejected(m fleet.Member, _ time.Time) bool { return m.ID != string(e) }
+
+func (ejectedExcept) PausedUntil(fleet.Member) time.Time { return time.Time{} }
--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -248,7 +248,7 @@
 		}
 	}
 	m, found := open.member, open.found
-	if limited.found && (!found || limited.cost < open.cost && s.queues(m, now)) {
+	if limited.found && (!found || limited.cost < open.cost && (health.Ejected(m, now) || s.queues(m, now))) {
 		m, found = limited.member, true
 	}
 	if !found {
