--- a/pkg/loadshare/quota.go
+++ b/pkg/loadshare/quota.go
@@ -32,13 +32,31 @@
 	}
 }
 
-// QuotaPeers returns what is known of the other hosts, live or not.
+// QuotaPeers returns what is known of the other hosts, live or not. It omits those whose
+// address another host has taken.
 func (x *Exchange) QuotaPeers() []quota.Peer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	now, live := time.Now(), x.live()
 	peers := make([]quota.Peer, 0, len(x.peers))
 	for name, p := range x.peers {
-		peers = append(peers, quota.Peer{Host: name, HeardAt: p.shownAt, HeardSince: p.shownSince, Live: time.Since(p.heardAt) < x.live()})
+		lives := now.Sub(p.heardAt) < live
+		if !lives && x.replaced(p, now.Add(-live)) {
+			continue
+		}
+		peers = append(peers, quota.Peer{Host: name, HeardAt: p.shownAt, HeardSince: p.shownSince, DirectAt: p.directAt, Live: lives})
 	}
 	return peers
 }
+
+// replaced reports whether another peer, heard since a time, has the address of a peer.
+// The peer has been killed then, though its announcement remains: it is not cut off. It
+// must be called with mu held.
+func (x *Exchange) replaced(p *peer, since time.Time) bool {
+	for _, other := range x.peers {
+		if other != p && other.address == p.address && other.shownAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -38,8 +38,10 @@
 	// are announced: it could not have heard them before.
 	startupTime = 3 * time.Second
 	// suspectTime is the time after an unanswered question in which datagrams from the
-	// host that is asked may have been sent before it.
-	suspectTime = 300 * time.Millisecond
+	// host that is asked may have been sent before it, relayedSuspectTime the time in which
+	// relays may still tell of a host that was killed.
+	suspectTime        = 300 * time.Millisecond
+	relayedSuspectTime = 3 * time.Second
 	// leftTime is the time for which a host that stops is not taken for an owner. It is
 	// gone by then, or has started again.
 	leftTime = 10 * time.Second
@@ -136,6 +138,8 @@
 	// HeardAt is when a datagram last showed that it lives, HeardSince when the first
 	// one after its last silence did; zero if none has.
 	HeardAt, HeardSince time.Time
+	// DirectAt is when a datagram of its own last arrived, not one of a relay.
+	DirectAt time.Time
 	// Live says that the host may own teams.
 	Live bool
 }
@@ -247,7 +251,7 @@
 		if joined && silence < b.opts.HearTime {
 			b.heard++
 		}
-		if since, suspected := b.suspects[p.Host]; suspected && p.HeardAt.Sub(since) > suspectTime {
+		if since, suspected := b.suspects[p.Host]; suspected && (p.DirectAt.Sub(since) > suspectTime || p.HeardAt.Sub(since) > relayedSuspectTime) {
 			delete(b.suspects, p.Host)
 		}
 		if left, ok := b.left[p.Host]; ok {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -128,6 +128,7 @@
 		peer := quota.Peer{Host: p.name, Live: s.now.Sub(last) < 3500*time.Millisecond || s.now.Sub(h.startedAt) < 3500*time.Millisecond}
 		if !last.IsZero() {
 			peer.HeardAt, peer.HeardSince = last.Add(h.skew), h.since[p.name].Add(h.skew)
+			peer.DirectAt = peer.HeardAt
 		}
 		peers = append(peers, peer)
 	}
--- a/pkg/quotashare/message.go
+++ b/pkg/quotashare/message.go
@@ -58,8 +58,17 @@
 	Decided bool
 }
 
+// encoding writes numbers in as few bytes as they need.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(errors.Wrap(err, "quota datagrams"))
+	}
+	return mode
+}()
+
 func encode(v any) []byte {
-	data, err := cbor.Marshal(v)
+	data, err := encoding.Marshal(v)
 	if err != nil {
 		// The types above have no values that cannot be encoded.
 		panic(errors.Wrap(err, "encode quota datagram"))
--- a/pkg/quotashare/quotashare.go
+++ b/pkg/quotashare/quotashare.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"expvar"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -433,7 +434,7 @@
 // decideFor decides on a question as the owner. It must be called with mu held.
 func (s *Service) decideFor(q question, now time.Time) answer {
 	d := s.active(now).Decide(q.Team, quota.Limit{Rate: q.Rate, Burst: q.Burst}, q.Tokens, now)
-	return answer{ID: q.ID, Grant: d.Grant, AfterMicros: d.After.Microseconds(), Reason: string(d.Reason), Stamp: d.Stamp, Level: d.Level, Share: d.Share, Decided: true}
+	return answer{ID: q.ID, Grant: d.Grant, AfterMicros: d.After.Microseconds(), Reason: string(d.Reason), Stamp: d.Stamp, Level: math.Round(d.Level), Share: math.Round(d.Share*1000) / 1000, Decided: true}
 }
 
 // forward passes a question on to the owner and its answer back. If the owner does not
