fairness, loadshare: the recent work of the teams on all hosts

Cause: on the relay path no host knows which team the load comes from, and OverShare compares a team with an equal share among all teams: with many small teams, each larger one counts as over its share although the small ones ask for little.

Change: OverShare and the new Share use the max-min fair level, computed from the recent work of each team. Lost reports are not repeated: cumulative counts would need a state for each host and team.

--- a/pkg/fairness/ledger.go
+++ b/pkg/fairness/ledger.go
@@ -52,6 +52,12 @@
 	local    map[string]float64        // guarded by mu; cumulative
 	remote   map[remoteKey]remoteCount // guarded by mu
 	rescales int                       // guarded by mu; the number of changes of epoch
+
+	// level is the weighted service that no team may exceed, within that of the teams
+	// that do not. They are those of levelAt; levelStale says that they are too old.
+	level, within float64   // guarded by mu
+	levelAt       time.Time // guarded by mu
+	levelStale    bool      // guarded by mu
 }
 
 // NewLedger returns an empty ledger whose figures decay with the time constant
@@ -113,13 +119,11 @@
 	return l.served[team] * math.Exp(-l.exponent(now))
 }
 
-// OverShare reports whether the team had more than slack times an equal share
-// of the recent service among the teams that had any. Max-min fairness gives a
-// team more than an equal share only while no other team waits.
+// OverShare reports whether the team had more than its max-min fair share of the
+// recent service, and more than slack times an equal share among the teams that had
+// any.
 func (l *Ledger) OverShare(team string, slack float64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.served[team]*float64(len(l.served)) > slack*l.total
+	return l.Share(team).over(slack)
 }
 
 // weightedService returns the team's service without the decay since epoch, by
@@ -143,7 +147,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := sweepThreshold * math.Exp(l.exponent(now))
-	l.total = 0
+	l.total, l.levelStale = 0, true
 	// The order is fixed so that the rounding of the sum is deterministic.
 	for _, team := range slices.Sorted(maps.Keys(l.served)) {
 		if l.served[team] < limit {
@@ -174,6 +178,7 @@
 			l.served[t] *= factor
 		}
 		l.total *= factor
+		l.levelStale = true
 		l.epoch = now
 		l.rescales++
 	}
@@ -182,4 +187,7 @@
 	after := max(0, before+weight)
 	l.served[team] = after
 	l.total += after - before
+	if now.Sub(l.levelAt) >= levelInterval {
+		l.levelAt, l.levelStale = now, true
+	}
 }
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -129,6 +129,9 @@
 	// engine's speed.
 	OnPace  func(p pace.Report, startedMillis int64)
 	OnSpeed func(service string, s placement.SpeedReport)
+	// OnTeamWork receives the work of a team that another host has sent to engines, in
+	// milliseconds.
+	OnTeamWork func(service, team string, ms float64)
 	// OnBlock receives an engine that takes no work for the time d.
 	OnBlock func(service, engine string, d time.Duration)
 	// OnEject receives an endpoint that another host has ejected; unreachable
@@ -275,6 +278,12 @@
 		Parts: []uint64{uint64(s.Samples), uint64(s.TimeFactor * scale)}})
 }
 
+// ReportTeamWork queues the work of a team that this host has sent to engines, in
+// milliseconds.
+func (x *Exchange) ReportTeamWork(service, team string, ms float64) {
+	x.enqueueSend(teamReport(service, team, ms))
+}
+
 // enqueueSend queues a report that goes through a relay if there is one. It returns
 // false if too many are queued.
 func (x *Exchange) enqueueSend(r report) bool {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -86,6 +86,11 @@
 				x.opts.OnSpeed(r.Service, s)
 			}
 			continue
+		case phaseTeamWork:
+			if ms, ok := r.teamWork(); ok {
+				x.opts.OnTeamWork(r.Service, r.Engine, ms)
+			}
+			continue
 		}
 		if len(r.Parts) != len(r.Sizes) || r.WorkMicros < 0 {
 			continue
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -43,6 +43,10 @@
 	// phaseDecoded tells the duration of a stream, see decodedReport. Earlier versions
 	// take it for a send without work.
 	phaseDecoded = 12
+	// phaseTeamWork holds the work of a team that the sender has sent to engines, in
+	// microseconds. Engine is the team. It has no Sizes, so that earlier versions
+	// ignore it.
+	phaseTeamWork = 14
 )
 
 // scale is the unit of fractions in reports.
@@ -71,6 +75,19 @@
 	return placement.SpeedReport{EngineID: r.Engine, Samples: int(r.Parts[0]), TimeFactor: float64(r.Parts[1]) / scale}, true
 }
 
+// teamReport returns the report of a team's work.
+func teamReport(service, team string, ms float64) report {
+	return report{Service: service, Engine: team, Phase: phaseTeamWork, Parts: []uint64{uint64(ms * scale)}}
+}
+
+// teamWork returns the work in milliseconds of a report with phaseTeamWork.
+func (r report) teamWork() (float64, bool) {
+	if len(r.Parts) != 1 || r.Parts[0] > math.MaxInt32 {
+		return 0, false
+	}
+	return float64(r.Parts[0]) / scale, true
+}
+
 // setParts sets the parts that the engine holds once the report is applied.
 func (r *report) setParts(parts []placement.Part) {
 	for _, p := range parts {
