placement, relay: teams share the engines under overload

Cause: the most urgent work is never held and engines run work in the order of arrival, so that under overload a team is served in proportion to what it asks for. Refused callers return at the same moment.

Change: while the shortest backlog of the engines is beyond a quarter of the target, and for a second after that, work of a team that had more than its max-min fair share of the last seconds waits at its host until an engine is nearly idle, whatever its priority, behind that of the other teams. Its wait is predicted from what the other teams leave. The hosts report the work of the teams with the most of it twice a second, together at most 400 reports a second. The Retry-After of refused work begins when there is capacity and is spread over as long a time, the oldest requests first. Metrics and fields of request_ended tell the shares.

Hosts overestimate the backlog for seconds after several of their sends wait behind the same unknown work, because each of them corrects the estimate in full.

--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -76,14 +77,18 @@
 	}
 	source, longest, pending := m.longestPrefix(job, health, now)
 	s := m.newSelection(candidates, now)
+	shortest := time.Duration(math.MaxInt64)
 	for i, e := range candidates {
 		c := m.prefillChoice(e, job, source, longest, now)
+		shortest = min(shortest, c.Wait)
 		recomputed := max(0, pending-(job.PromptTokens-c.Uncached))
 		cost := c.Expected() + time.Duration(recomputeWeight*float64(m.speed.prefillTime(recomputed, e.timeFactor.value)))
 		cost += tieBreak(job, e)
 		s.add(i, c, cost)
 	}
-	return s.choose(job, now)
+	choice, ok := s.choose(job, now)
+	choice.Shortest = shortest
+	return choice, ok
 }
 
 // tieBreak returns a time below tieBreakRange that decides between equally good
@@ -193,12 +198,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	engines := 0
-	for _, e := range m.order {
-		if e.member.Role == endpoint.RolePrefill && e.member.State == endpoint.StateLive {
-			engines++
-		}
-	}
+	engines := m.prefillEngines()
 	wait := ahead * time.Duration(hosts) / time.Duration(max(engines, 1))
 	if late {
 		m.work.decay(now)
@@ -211,6 +211,30 @@
 	return wait
 }
 
+// HeldWaitOfTeam returns the same for a job of a team that is over its share. Such jobs
+// get what the teams within their share leave. u and late are those of the job.
+func (m *Model) HeldWaitOfTeam(t TeamLoad, u Urgency, late bool, work time.Duration, arrived, now time.Time, hosts int) time.Duration {
+	ahead := m.Held.AheadOverShare(t, u, late, arrived) + work
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	engines := float64(max(m.prefillEngines(), 1))
+	m.work.decay(now)
+	spare := 1 - t.Within*m.work.prefill/engines
+	return time.Duration(float64(ahead) * float64(hosts) / engines / max(spare, minSpareShare))
+}
+
+// prefillEngines returns the number of live prefill engines. It must be called with mu
+// held.
+func (m *Model) prefillEngines() int {
+	n := 0
+	for _, e := range m.order {
+		if e.member.Role == endpoint.RolePrefill && e.member.State == endpoint.StateLive {
+			n++
+		}
+	}
+	return n
+}
+
 // DecodeWait returns the expected time until a decode engine has a free slot. Each
 // engine frees a slot every streamTime divided by its slots.
 func (m *Model) DecodeWait(job Job, health Health, now time.Time) time.Duration {
--- a/pkg/placement/hold.go
+++ b/pkg/placement/hold.go
@@ -16,6 +16,9 @@
 	// Engines become free earlier than expected when sends fail.
 	minHold = 10 * time.Millisecond
 	maxHold = 100 * time.Millisecond
+	// excessBand is the ratio of the excess of two teams below which the order of their
+	// work does not depend on it. The teams' work is known with a delay.
+	excessBand = 1.25
 )
 
 // Urgency is the rank of a job among the work of its service.
@@ -35,7 +38,7 @@
 // that waits there cannot move to an engine that becomes free. Less urgent work
 // therefore waits at its host while the shortest backlog is a considerable part of
 // the urgent work's target, and work that has missed its target waits until an
-// engine is nearly idle. The most urgent work is never held.
+// engine is nearly idle. The most urgent work is not held here; see HoldTimeOfTeam.
 func HoldTime(u Urgency, late bool, c Choice) time.Duration {
 	if u.Ranks <= 0 {
 		return 0
@@ -52,7 +55,11 @@
 
 // HeldJob is a job that its host holds back.
 type HeldJob struct {
-	late    bool
+	late bool
+	// excess is that of the job's team, fairness.Share.Excess, if the team is over its
+	// share, zero if not. ranks is then that of the job's Urgency.
+	excess  float64
+	ranks   int
 	arrived time.Time
 	work    time.Duration
 }
@@ -67,6 +74,15 @@
 // Hold adds a job, or updates it if it is held already. job is nil for a new one.
 // work is the time for which the job would occupy an engine.
 func (q *HoldQueue) Hold(job *HeldJob, late bool, arrived time.Time, work time.Duration) *HeldJob {
+	return q.hold(job, HeldJob{late: late, arrived: arrived, work: work})
+}
+
+// HoldOverShare is Hold for a job of a team that is over its share.
+func (q *HoldQueue) HoldOverShare(job *HeldJob, t TeamLoad, u Urgency, late bool, arrived time.Time, work time.Duration) *HeldJob {
+	return q.hold(job, HeldJob{late: late, excess: t.Excess(), ranks: u.Ranks, arrived: arrived, work: work})
+}
+
+func (q *HoldQueue) hold(job *HeldJob, state HeldJob) *HeldJob {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if job == nil {
@@ -76,7 +92,7 @@
 		}
 		q.jobs[job] = struct{}{}
 	}
-	job.late, job.arrived, job.work = late, arrived, work
+	*job = state
 	return job
 }
 
@@ -90,15 +106,51 @@
 // Ahead returns the work of the held jobs that are sent before one that arrived at
 // a time. Jobs that can still meet their target come first, then the others, each
 // in the order of arrival: a late job that has waited longest is the next that its
-// caller gives up.
+// caller gives up. Jobs of teams over their share come after all others.
 func (q *HoldQueue) Ahead(late bool, arrived time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var ahead time.Duration
 	for job := range q.jobs {
+		if job.excess > 0 {
+			continue
+		}
 		if job.late == late && job.arrived.Before(arrived) || late && !job.late {
 			ahead += job.work
 		}
 	}
 	return ahead
 }
+
+// AheadOverShare returns the work of the held jobs that are sent before one of a team
+// that is over its share: all jobs of teams within their share, those of teams that are
+// clearly less above theirs, then the more urgent ones, and among equally urgent ones as
+// in Ahead.
+func (q *HoldQueue) AheadOverShare(t TeamLoad, u Urgency, late bool, arrived time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	own := HeldJob{late: late, excess: t.Excess(), ranks: u.Ranks, arrived: arrived}
+	var ahead time.Duration
+	for job := range q.jobs {
+		if job.before(&own) {
+			ahead += job.work
+		}
+	}
+	return ahead
+}
+
+// before reports whether the job is sent before another one, whose team is over its
+// share.
+func (j *HeldJob) before(other *HeldJob) bool {
+	switch {
+	case j.excess*excessBand < other.excess:
+		return true
+	case other.excess*excessBand < j.excess:
+		return false
+	case j.ranks != other.ranks:
+		return j.ranks < other.ranks
+	case j.late != other.late:
+		return !j.late
+	}
+	return j.arrived.Before(other.arrived)
+}
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -84,6 +84,8 @@
 type Model struct {
 	// Held holds the jobs that this host holds back.
 	Held HoldQueue
+	// Teams holds the recent work of all hosts by team.
+	Teams *Teams
 	// limiter says which engines get no more requests; nil if none is limited.
 	limiter *pace.Limiter
 
@@ -104,7 +106,7 @@
 
 // NewModel returns a model without engines.
 func NewModel() *Model {
-	return &Model{engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), decodeSpeed: decodeSpeed{outputs: map[int]float64{}}, streamTime: defaultStreamTime}
+	return &Model{Teams: newTeams(), engines: map[string]*engine{}, properties: EngineProperties{CacheTokens: defaultCacheTokens}, speed: newPrefillSpeed(), decodeSpeed: decodeSpeed{outputs: map[int]float64{}}, streamTime: defaultStreamTime}
 }
 
 // SetEngineProperties sets the declared properties of the engines. A CacheTokens
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -45,6 +45,8 @@
 	// which the phase occupies the engine, or its link if the phase is a
 	// decode.
 	Wait, Work time.Duration
+	// Shortest is the least Wait at any of the engines that could take a prefill.
+	Shortest time.Duration
 	// Copying is the part of Work that the copy from Source takes.
 	Copying time.Duration
 	// Latency is the additional time that the phase takes without occupying the
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -53,8 +55,12 @@
 	model   *placement.Model
 	job     placement.Job
 	urgency placement.Urgency
+	// team is the load of the request's team at the last choice of a prefill engine.
+	team placement.TeamLoad
 	// held is set while the host holds the request back.
 	held *placement.HeldJob
+	// heldOverShare is set once the request was held because its team is over its share.
+	heldOverShare bool
 	// lastDelivered is the id of the last event that the caller has received.
 	lastDelivered string
 	// progressAt is when the last event arrived, zero before the first one.
@@ -96,6 +102,7 @@
 			// No engine could decode after the prefill.
 			return nil, g.decodeRefusal(nil)
 		}
+		g.observeTeam(choice)
 		if r := g.admit(choice); r != nil {
 			return nil, r
 		}
@@ -126,12 +133,17 @@
 		g.job.Late, g.x.late = true, true
 	}
 	g.x.logFields["chosen"], g.x.logFields["wait_ms"], g.x.logFields["expected_ms"] = c.Engine.ID, c.Wait.Milliseconds(), c.Expected().Milliseconds()
-	excess := wait - g.timeLeft()
+	left := g.timeLeft()
+	excess := wait - left
 	if excess <= 0 {
 		return nil
 	}
-	return refusal.NotRun(503, refusal.CodeOverloaded, "the request cannot be served in its time").
-		WithRetryAfter(g.x.retryAfter(max(excess, minOverloadRetryAfter)))
+	g.x.logFields["held_wait_ms"] = g.heldWait(c.Work).Milliseconds()
+	if g.team.OverShare() {
+		g.h.Metrics.RefusedOverShare.Add(1)
+	}
+	after := placement.RetryAfter(max(excess, minOverloadRetryAfter), left, g.callerTimeout(), rand.Float64())
+	return refusal.NotRun(503, refusal.CodeOverloaded, "the request cannot be served in its time").WithRetryAfter(g.x.retryAfter(after))
 }
 
 // expectedWait returns the expected time until the next event if the prefill is sent
@@ -160,6 +172,28 @@
 	return now.Add(left - firstEventLatency)
 }
 
+// observeTeam reads the load of the request's team. A stream that is resumed is sent
+// without regard to it.
+func (g *generation) observeTeam(c placement.Choice) {
+	target := g.urgency.Target
+	if g.urgency.Ranks == 0 {
+		target = g.x.route.Target
+	}
+	g.team = g.model.Teams.Load(g.x.team, c.Shortest, target, time.Now())
+	if g.team.Overloaded {
+		g.x.logFields["team_part"], g.x.logFields["fair_part"] = fmt.Sprintf("%.4f", g.team.Part), fmt.Sprintf("%.4f", g.team.Fair)
+		g.x.logFields["over_share"] = g.team.OverShare()
+	}
+}
+
+// countWork counts a send for the request's team, and returns the function that takes it
+// back if the send fails.
+func (g *generation) countWork(role endpoint.Role, c placement.Choice) (undo func()) {
+	work := g.model.TeamWork(role, c)
+	g.model.Teams.Add(g.x.team, work, time.Now())
+	return func() { g.model.Teams.Add(g.x.team, -work, time.Now()) }
+}
+
 // urgencyOf ranks the request among the routes of its service.
 func urgencyOf(x *exchange) placement.Urgency {
 	ranks, target := x.table.MoreUrgent(x.service, x.priority)
@@ -169,7 +203,12 @@
 // heldWait returns the expected time until the held requests before this one, which
 // takes an engine for the time work, have been sent.
 func (g *generation) heldWait(work time.Duration) time.Duration {
-	if g.urgency.Ranks == 0 || g.lastDelivered != "" {
+	switch {
+	case g.lastDelivered != "":
+		return 0
+	case g.team.OverShare():
+		return g.model.HeldWaitOfTeam(g.team, g.urgency, g.job.Late, work, g.x.arrived, time.Now(), g.h.LiveHosts())
+	case g.urgency.Ranks == 0:
 		return 0
 	}
 	return g.model.HeldWait(g.job.Late, work, g.x.arrived, time.Now(), g.h.LiveHosts())
@@ -178,13 +217,21 @@
 // hold keeps the request at this host for a while if no engine is to get it now, and
 // reports whether it did. A stream that is resumed is not held.
 func (g *generation) hold(c placement.Choice) bool {
-	d := placement.HoldTime(g.urgency, g.job.Late, c)
+	d := placement.HoldTimeOfTeam(g.urgency, g.job.Late, c, g.team, g.heldWait(c.Work))
 	if d <= 0 || g.lastDelivered != "" {
 		g.model.Held.Release(g.held)
 		g.held = nil
 		return false
 	}
-	g.held = g.model.Held.Hold(g.held, g.job.Late, g.x.arrived, c.Work)
+	if g.team.OverShare() {
+		if !g.heldOverShare {
+			g.heldOverShare = true
+			g.h.Metrics.HeldOverShare.Add(1)
+		}
+		g.held = g.model.Held.HoldOverShare(g.held, g.team, g.urgency, g.job.Late, g.x.arrived, c.Work)
+	} else {
+		g.held = g.model.Held.Hold(g.held, g.job.Late, g.x.arrived, c.Work)
+	}
 	sleep.For(g.x.workCtx, d)
 	g.x.logFields["held_ms"] = g.x.elapsed().Milliseconds()
 	return true
@@ -214,6 +261,7 @@
 func (g *generation) prefill(c placement.Choice) (prefillHandle, error) {
 	now := time.Now()
 	inFlight, sent := g.model.BeginSend(endpoint.RolePrefill, g.job, c, now)
+	undoCount := g.countWork(endpoint.RolePrefill, c)
 	g.h.OnSent(g.x.service, sent)
 	limit := 2*c.Expected() + prefillSlack
 	g.x.logFields["prefill_at"], g.x.logFields["uncached"], g.x.logFields["copied"] = c.Engine.ID, c.Uncached, c.Copied
@@ -221,6 +269,7 @@
 	done := time.Now()
 	g.x.logFields["prefill_ms"], g.x.logFields["prefill_expected_ms"] = done.Sub(now).Milliseconds(), c.Expected().Milliseconds()
 	if err != nil {
+		undoCount()
 		g.model.EndSend(inFlight, placement.Failed, done)
 		return prefillHandle{}, err
 	}
@@ -356,6 +405,7 @@
 func (g *generation) startDecode(c placement.Choice, opts ForwardOptions) (*stream, error) {
 	now := time.Now()
 	inFlight, sent := g.model.BeginSend(endpoint.RoleDecode, g.job, c, now)
+	undoCount := g.countWork(endpoint.RoleDecode, c)
 	g.h.OnSent(g.x.service, sent)
 	opts.HasPriority, opts.Priority, opts.LastEventID = true, g.priority(), g.lastDelivered
 	g.x.logFields["decode_at"], g.x.logFields["decode_expected_ms"] = c.Engine.ID, c.Decoding.Milliseconds()
@@ -368,6 +418,7 @@
 		g.x.attempts++
 	}
 	if err != nil {
+		undoCount()
 		g.model.EndSend(inFlight, placement.Failed, time.Now())
 		return nil, err
 	}
@@ -381,6 +432,8 @@
 // openWithoutPrefill asks a decode engine for the prefill as well, because no
 // prefill engine is left.
 func (g *generation) openWithoutPrefill() (*stream, *refusal.Refusal) {
+	// Nothing is held before a decode engine.
+	g.team = placement.TeamLoad{}
 	job := g.decodeJob()
 	job.Exclude = slices.Clone(job.Exclude)
 	var lastErr error
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -50,6 +50,10 @@
 	// SilentKept counts sends whose endpoint was silent for too long and was waited
 	// for, because no other could take over; SilentLeft those that were given up.
 	SilentKept, SilentLeft expvar.Int
+	// HeldOverShare counts requests that were held back because their team was over its
+	// share of the engines under overload, RefusedOverShare those of such teams that
+	// could not be served in their time.
+	HeldOverShare, RefusedOverShare expvar.Int
 	// Total is the time from the arrival to the end of the answer, FirstByte that
 	// to its first byte. Prefill is the time of a successful prefill, FirstEvent
 	// that from the send to a decode engine to the first event.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -199,7 +199,7 @@
 	defer func() { _ = peerConn.Close() }()
 	h.exchange = loadshare.New(loadshare.Options{
 		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
-		OnSend: h.applyPeerSend, OnDecoded: h.applyPeerDecode, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving, OnPace: h.applyPeerPace, OnSpeed: h.applyPeerSpeed,
+		OnSend: h.applyPeerSend, OnDecoded: h.applyPeerDecode, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving, OnPace: h.applyPeerPace, OnSpeed: h.applyPeerSpeed, OnTeamWork: h.applyPeerTeamWork,
 		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage,
 		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
 	})
@@ -216,6 +216,7 @@
 	wg.Go(func() { h.runHousekeeping(workCtx) })
 	wg.Go(func() { h.runEvidence(workCtx) })
 	wg.Go(func() { h.runPace(workCtx) })
+	wg.Go(func() { h.runTeams(workCtx) })
 	wg.Go(func() { h.recoverCaches(workCtx) })
 	wg.Go(func() { h.serveReady(ready) })
 	if metrics != nil {
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -63,6 +63,9 @@
 	}
 	line("choices_limited", h.pace.Passed.Load())
 	line("choices_beyond_limit", h.pace.Beyond.Load())
+	line("requests_held_over_share", h.metrics.HeldOverShare.Value())
+	line("requests_refused_over_share", h.metrics.RefusedOverShare.Value())
+	h.teamMetrics(line)
 	line("ready", boolNumber(h.ready()))
 	if table, err := h.routes.Current(); err == nil {
 		line("configuration_version", table.Version())
