--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -53,6 +53,10 @@
 	// Ejections counts the ejections of endpoints by the kind of failure, PeerEjections
 	// those that other hosts reported.
 	Ejections, PeerEjections expvar.Map
+	// HeldOverShare counts requests that were held back because their team was over its
+	// share of the engines under overload, RefusedOverShare those of such teams that
+	// could not be served in their time.
+	HeldOverShare, RefusedOverShare expvar.Int
 	// Total is the time from the arrival to the end of the answer, FirstByte that
 	// to its first byte. Prefill is the time of a successful prefill, FirstEvent
 	// that from the send to a decode engine to the first event.
