--- a/test/e2e/deployment.go
+++ b/test/e2e/deployment.go
@@ -54,6 +54,9 @@
 	EditSettings func(*settings.Settings)
 	// EditDeclarations, if set, changes the declarations that Start applies.
 	EditDeclarations func(*declaration.Document)
+	// HostOpenFiles is the limit of open files of each host; no limit of its own if
+	// zero.
+	HostOpenFiles int
 	// RecordPeerMessages makes PeerMessages available.
 	RecordPeerMessages bool
 }
@@ -264,14 +267,24 @@
 		Instance: s.Host.Instance, Domain: domain, PeerAddress: s.Listen.Peers,
 		OperatorAddress: h.OperatorLink.Address(), State: endpointapi.HostLive,
 	})
-	h.Process = d.start(h.Name, "clementineshed", "serve", "--settings", h.settingsFile)
+	h.Process = d.startHostProcess(h)
 	return h
 }
 
+func (d *Deployment) startHostProcess(h *Host) *Process {
+	args := []string{"serve", "--settings", h.settingsFile}
+	if d.opts.HostOpenFiles == 0 {
+		return d.start(h.Name, "clementineshed", args...)
+	}
+	p := StartLimitedProcess(d.t, h.Name, d.opts.HostOpenFiles, "clementineshed", args...)
+	d.processes = append(d.processes, p)
+	return p
+}
+
 // Restart starts the host again with the same settings. The old process must
 // have ended, and nothing else may use Process meanwhile.
 func (h *Host) Restart() {
-	h.Process = h.deployment.start(h.Name, "clementineshed", "serve", "--settings", h.settingsFile)
+	h.Process = h.deployment.startHostProcess(h)
 }
 
 // Status fetches the status of the host from its operator address.
--- a/test/e2e/process.go
+++ b/test/e2e/process.go
@@ -65,7 +65,20 @@
 // StartProcess starts one of the built programs. The caller ends the process.
 func StartProcess(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
-	p := &Process{Name: name, cmd: exec.Command(built.path(program), args...), exited: make(chan struct{})}
+	return startProcess(t, name, exec.Command(built.path(program), args...))
+}
+
+// StartLimitedProcess is like StartProcess and sets the process's limit of open
+// files, soft and hard: a Go program raises its soft limit to the hard one.
+func StartLimitedProcess(t testing.TB, name string, openFiles int, program string, args ...string) *Process {
+	t.Helper()
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, openFiles)
+	return startProcess(t, name, exec.Command("/bin/sh", append([]string{"-c", script, built.path(program)}, args...)...))
+}
+
+func startProcess(t testing.TB, name string, cmd *exec.Cmd) *Process {
+	t.Helper()
+	p := &Process{Name: name, cmd: cmd, exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
 	p.cmd.SysProcAttr = killWithParent()
 	if err := startCommand(p.cmd); err != nil {
@@ -84,6 +97,9 @@
 	return <-started
 }
 
+// PID returns the process id, also after the process has ended.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends sig to the process, not to its children, unless it has ended.
 func (p *Process) Signal(sig syscall.Signal) {
 	if p.Running() {
