crowd: a team that is served offline needs a limit

Cause: set offline_keys without offline_limit, which declarations require, so no test of serve could start its deployment.

Change: the limit is one minute.

--- a/test/crowd/programs_test.go
+++ b/test/crowd/programs_test.go
@@ -112,7 +112,7 @@
 		},
 		EditDeclarations: func(doc *declaration.Document) {
 			// A busy machine can keep a host from confirming its keys in time.
-			doc.Teams[0].OfflineKeys = declaration.OfflineServe
+			doc.Teams[0].OfflineKeys, doc.Teams[0].OfflineLimit = declaration.OfflineServe, declaration.Duration(time.Minute)
 			doc.Services = append(doc.Services, declaration.Service{Name: service})
 			doc.Routes = append(doc.Routes, declaration.Route{Name: service, Kind: declaration.RouteService, Service: service, Path: prefix, Class: "order", Repeatable: true})
 		},
