crowd: report how long an ordinary client waited

Cause: a request that is given up after 20 rejections does not tell a host that is full from one whose Retry-After is too short.

Change: the log lines and errors give the sum of the pauses. No bound changes.

--- a/test/crowd/ordinary_test.go
+++ b/test/crowd/ordinary_test.go
@@ -62,12 +62,17 @@
 // after a bounded number of closed connections and of 503 answers with Retry-After.
 func checkOrdinary(t *testing.T, target *target, kind string, c call) {
 	t.Helper()
+	var waited time.Duration
+	pause := func(d time.Duration) {
+		waited += d
+		time.Sleep(d)
+	}
 	for rejections := 0; ; rejections++ {
 		a := target.send(c)
 		var timeout interface{ Timeout() bool }
 		switch {
 		case a.err == nil && a.status == http.StatusOK && strings.Contains(a.body, c.answerPart):
-			t.Logf("ordinary %s: answered after %d rejections", kind, rejections)
+			t.Logf("ordinary %s: answered after %d rejections and %v of pauses", kind, rejections, waited)
 			return
 		case errors.As(a.err, &timeout) && timeout.Timeout():
 			t.Errorf("ordinary %s: unanswered after %d rejections: %v", kind, rejections, a.err)
@@ -76,12 +81,12 @@
 			t.Errorf("ordinary %s: status %d, Retry-After %v, body %.200q after %d rejections", kind, a.status, a.hasRetryAfter, a.body, rejections)
 			return
 		case rejections >= maxRejections || !target.process.Running():
-			t.Errorf("ordinary %s: not served after %d rejections, the last one: status %d, %v", kind, rejections, a.status, a.err)
+			t.Errorf("ordinary %s: not served after %d rejections and %v of pauses, the last one: status %d, %v", kind, rejections, waited, a.status, a.err)
 			return
 		case a.err == nil:
-			time.Sleep(min(a.retryAfter, maxRetryAfter))
+			pause(min(a.retryAfter, maxRetryAfter))
 		default:
-			time.Sleep(closedPause)
+			pause(closedPause)
 		}
 	}
 }
