--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -42,6 +42,8 @@
 	// Engines run prefills in the order of arrival, regardless of their
 	// priority.
 	prefillFreeAt time.Time
+	// correction is the sum of the corrections of prefillFreeAt by measured times.
+	correction time.Duration
 	// linkFreeAt is when the transfers to the engine are expected to be done.
 	linkFreeAt time.Time
 	// timeFactor is the engine's prefill time relative to the fleet's mean.
@@ -69,6 +71,8 @@
 	// engineIdle is set if no other work was known at the engine, or, for a
 	// decode, if a slot was free, so that the elapsed time measures the engine.
 	engineIdle bool
+	// correction is engine.correction when the send began.
+	correction time.Duration
 	// copyTime is the part of the work that is not prefill.
 	copyTime time.Duration
 	work     time.Duration
@@ -192,6 +196,7 @@
 	if e == nil {
 		return s, report
 	}
+	s.correction = e.correction
 	s.engineIdle = len(e.inFlight) == 0 && c.Wait == 0
 	if role == endpoint.RoleDecode {
 		s.engineIdle = e.activeStreams(now) < m.slots()
@@ -316,7 +321,12 @@
 	if s.engineIdle {
 		m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, &e.timeFactor)
 	}
-	e.prefillFreeAt = e.prefillFreeAt.Add(time.Duration(queueCorrectionGain * float64(now.Sub(s.expectedAt))))
+	// Sends that were in flight together are late by the same queue, so what has been
+	// corrected since this one began is not corrected again.
+	late := now.Sub(s.expectedAt) - (e.correction - s.correction)
+	correction := time.Duration(queueCorrectionGain * float64(late))
+	e.correction += correction
+	e.prefillFreeAt = e.prefillFreeAt.Add(correction)
 }
 
 // Block excludes an engine from new work until a time, after it refused a
