callerconn: bound the buffers of large chunks before they are allocated

Cause: the server allocates the buffer of a chunk before it reads it, so that it was charged only afterwards, and a request that waited for memory held it meanwhile.

Change: while there is no room for the largest body, the limit of a chunked one is lowered to what there is room for, at least 64 KiB, and more is answered with 503 and a Retry-After. A quarter of what a chunked body may take is charged in advance, so that many that begin at once do not get the same room. A read into a buffer that is not charged yet does not wait. The wait for the next request after a chunked one is not charged.

--- a/pkg/callerconn/memory.go
+++ b/pkg/callerconn/memory.go
@@ -22,6 +22,10 @@
 	// pooledBodyBytes is the largest buffer of a body that the server keeps for other
 	// requests. Larger ones would be memory that no request is charged for.
 	pooledBodyBytes = 64 << 10
+	// chunkedAdvance is the divisor of what is charged in advance for a chunked body.
+	// Without it 300 callers that sent the size of a large chunk at once took a host to
+	// 148 MB that has 144, because the buffers were allocated before they were charged.
+	chunkedAdvance = 4
 	// servingBytes is what a request in flight holds besides its body: its parsed head
 	// and the buffers of its endpoint's connection.
 	servingBytes = 16 << 10
@@ -80,10 +84,38 @@
 		// A chunked body. The part that arrived with the head is in the read buffer.
 		a.chunked = true
 		a.body = max(0, a.read-int64(len(h.RequestURI())+len(h.RawHeaders())))
+		return a.limitChunks(limit)
 	}
 	return limit
 }
 
+// limitChunks returns the largest chunked body that there is memory for now, at least
+// pooledBodyBytes. The server allocates the buffer for a chunk before it reads the chunk,
+// so that it can be charged only when it has been allocated. A part of it is charged in
+// advance, so that many requests that begin at once do not all get the same room.
+func (a *account) limitChunks(limit int) int {
+	now := time.Now()
+	a.wanted = a.chunkedTotal(int64(limit))
+	room := a.memory.budget.Room(a.wanted, now)
+	length := int64(limit)
+	if a.wanted > room {
+		length = pooledBodyBytes
+		for length < int64(limit) && a.chunkedTotal(2*length) <= room {
+			length *= 2
+		}
+	}
+	if length > pooledBodyBytes && !a.share.Grow(a.chunkedTotal(length)/chunkedAdvance, now) {
+		length = pooledBodyBytes
+	}
+	a.limited = length < int64(limit)
+	return int(min(length, int64(limit)))
+}
+
+// chunkedTotal returns the charge of a request with a chunked body of n bytes.
+func (a *account) chunkedTotal(n int64) int64 {
+	return a.memory.readBuffer + max(chunkedCharge(n), a.copies*bufferSize(n))
+}
+
 // connOf returns the connection of the request whose head the server passes to
 // HeaderReceived. The head is part of the request's context, which has the connection.
 // TestHeadOfConnection checks this for the version in use.
@@ -127,7 +159,7 @@
 		return r
 	}
 	a := &c.account
-	if !a.share.EndRead(0, time.Now()) || a.refused {
+	if !a.share.EndRead(0, time.Now()) || a.refused || a.limited && r.Status == 413 {
 		r = a.refusal()
 	}
 	c.lingers.Store(r.Status == 413 || r.Status == 503)
@@ -148,16 +180,20 @@
 	// much it would have needed.
 	refused bool
 	wanted  int64
+	// limited says that a chunked body is refused below the limit of the configuration.
+	limited bool
 }
 
 func (a *account) beginRequest() {
-	a.read, a.body, a.chunked, a.refused, a.copies = 0, 0, false, false, 1
+	a.read, a.body, a.chunked, a.refused, a.limited, a.copies = 0, 0, false, false, false, 1
 	// No request has been read yet, so the connection may as well be closed at once.
 	a.wanted = a.memory.readBuffer
 	a.refused = !a.share.BeginRead(a.memory.readBuffer, time.Now())
 }
 
 func (a *account) endRequest() {
+	// The wait for the next request is not charged.
+	a.chunked = false
 	if a.share != nil {
 		a.share.Clear(time.Now())
 	}
@@ -182,7 +218,16 @@
 	if int64(size) >= a.memory.readBuffer {
 		length += int64(size)
 	}
-	if !a.grow(a.memory.readBuffer + max(chunkedCharge(length), a.copies*bufferSize(length))) {
+	total := a.chunkedTotal(length)
+	if int64(size) < a.memory.readBuffer {
+		if !a.grow(total) {
+			return errNoMemory
+		}
+		return nil
+	}
+	// The buffer must not be held, not charged yet, while the request waits.
+	if !a.share.Grow(total, time.Now()) {
+		a.refused, a.wanted = true, total
 		return errNoMemory
 	}
 	return nil
--- a/pkg/callerconn/memory_test.go
+++ b/pkg/callerconn/memory_test.go
@@ -177,6 +177,28 @@
 	}
 }
 
+// TestChunksOverTheBudgetAreRefused guards against chunked bodies whose buffers are
+// allocated without memory for them, against 413 for a body within the limit, and against
+// the refusal of small ones.
+func TestChunksOverTheBudgetAreRefused(t *testing.T) {
+	s := startBudgetServer(t, 8<<20)
+	s.budget.Force(8<<20, time.Now())
+	for size, want := range map[int]int{17 << 10: 200, 1 << 20: 503, testBodyLimit + 1: 503} {
+		c, sender := s.dial()
+		request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", sender, size, strings.Repeat("x", size))
+		if _, err := io.WriteString(c, request); err != nil {
+			t.Fatal(err)
+		}
+		if answer := s.read(c); answer.StatusCode != want || (want == 503) != (answer.Header.Get("Retry-After") != "") {
+			t.Errorf("%d bytes: got %d %v, want %d", size, answer.StatusCode, answer.Header, want)
+		}
+	}
+	s.awaitHeld(8<<20, 8<<20)
+	if stats := s.budget.Stats(); stats.Peak > stats.Limit*5/4 {
+		t.Errorf("%d bytes were charged", stats.Peak)
+	}
+}
+
 // TestBodyWaitsForMemory guards against the refusal of a request for which there is
 // memory a moment later.
 func TestBodyWaitsForMemory(t *testing.T) {
--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -145,6 +145,23 @@
 	notify(victims)
 }
 
+// Room returns how many bytes of bodies can be charged now. If they are less than n, it
+// evicts as MakeRoom does.
+func (b *Budget) Room(n int64, now time.Time) int64 {
+	if b == nil {
+		return n
+	}
+	b.mu.Lock()
+	room := b.stats.Limit - b.stats.Held
+	var victims []victim
+	if n = b.bodyCharge(n); n > room {
+		victims = b.evict(n-room, now)
+	}
+	b.mu.Unlock()
+	notify(victims)
+	return room
+}
+
 // RetryAfter returns the time after which n bytes are expected to be free.
 func (b *Budget) RetryAfter(n int64, now time.Time) time.Duration {
 	if b == nil {
