quota: first start before heartbeats, and a host that starts again with its setting

Cause: among 25 and more hosts the first heartbeats come by relays after two seconds; until then an owner counted itself only and granted 1/hosts of the limit. A host that is killed and started again with bootstrap=true would grant a second full bucket.

Change: at the first start hosts that were announced and not heard yet count while they are live. The level that a former owner hands over bounds the bucket of a first start.

Measured: TestFirstStartBeforeHeartbeats fails before the change and passes with it.

--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -17,6 +17,8 @@
 	granted           float64
 	// handedOver says that the former owner has passed the bucket on.
 	handedOver bool
+	// fromFirstStart says that the bucket was full at the first start of the system.
+	fromFirstStart bool
 }
 
 // newBucket returns a bucket for a team that this host has owned since a time.
@@ -25,7 +27,7 @@
 	full := limit.capacity() * share
 	if b.inFirstStart() && since == b.started {
 		// No host has spent anything before.
-		k.level, k.readyAt = full, since
+		k.level, k.readyAt, k.fromFirstStart = full, since, true
 		return k
 	}
 	if _, credited := b.credited[team]; !credited {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -248,7 +248,9 @@
 		silence := now.Sub(p.HeardAt)
 		heardFromStart := starting && p.HeardSince.Sub(b.opts.StartedAt) < startupTime
 		joined := !p.HeardAt.IsZero() && (firstStart || heardFromStart || now.Sub(p.HeardSince) >= b.opts.joinTime())
-		if joined && silence < b.opts.HearTime {
+		// At the first start heartbeats take seconds to come by way of relays.
+		awaited := firstStart && p.HeardAt.IsZero() && p.Live
+		if awaited || joined && silence < b.opts.HearTime {
 			b.heard++
 		}
 		if since, suspected := b.suspects[p.Host]; suspected && (p.DirectAt.Sub(since) > suspectTime || p.HeardAt.Sub(since) > relayedSuspectTime) {
@@ -503,6 +505,12 @@
 		k = &bucket{at: b.clock, readyAt: b.clock + 1, createdAt: b.clock, usedAt: b.clock}
 		b.owned[team] = k
 	}
+	if k.fromFirstStart {
+		// The former owner has spent: this host has started again with the setting of the
+		// first start.
+		k.level, k.fromFirstStart = min(k.level, level), false
+		return
+	}
 	if k.readyAt > b.clock {
 		// Nothing was refilled; what was granted came from the start credit.
 		k.level, k.at, k.readyAt, k.handedOver = max(k.level, level), b.clock, b.clock, true
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -290,6 +290,25 @@
 	}
 }
 
+// TestFirstStartBeforeHeartbeats guards against refusals while the heartbeats of the
+// first start are on their way, and against a second full bucket at a host that starts
+// again with the setting of the first start.
+func TestFirstStartBeforeHeartbeats(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	b := quota.NewBook(quota.Options{Host: "a", Bounds: quota.DefaultBounds(), StartedAt: now, FirstStart: true})
+	b.Update(now, []quota.Peer{{Host: "b", Live: true}, {Host: "c", Live: true}})
+	if share := b.Share(); share != 1 {
+		t.Errorf("share %g", share)
+	}
+	if d := b.Decide("team", bigLimit, 1, now); !d.Grant || d.Level != bigLimit.Burst-1 {
+		t.Errorf("%+v", d)
+	}
+	b.Accept("team", 1000, now)
+	if d := b.Decide("team", bigLimit, 1, now); !d.Grant || d.Level != 999 {
+		t.Errorf("after a handover of 1000: %+v", d)
+	}
+}
+
 // TestBusyTeamKeepsItsLimit guards against a team that gets more than its limit at many
 // times its load, against one that gets much less, and against effects on others.
 func TestBusyTeamKeepsItsLimit(t *testing.T) {
