quotashare: requests held for a new owner ask again

Cause: when an owner is killed its requests are held for a second and a half and then ask together, for more than the new owner has credit for.

Change: they ask again within 1.9 s of their hold.

--- a/pkg/quotashare/quotashare.go
+++ b/pkg/quotashare/quotashare.go
@@ -40,7 +40,7 @@
 	// maxNewOwnerWait bounds how long a request is held until a new owner grants, and
 	// newOwnerSpread the random time added, so that held requests do not return at once.
 	// Callers wait two seconds at least.
-	maxNewOwnerWait = 1700 * time.Millisecond
+	maxNewOwnerWait = 1900 * time.Millisecond
 	newOwnerSpread  = 100 * time.Millisecond
 )
 
@@ -206,9 +206,13 @@
 		sleep.For(ctx, s.opts.Settled())
 	}
 	r := s.decide(ctx, team, limit, tokens)
-	if !r.Grant && r.Reason == quota.ReasonNewOwner && r.After < maxNewOwnerWait {
-		sleep.For(ctx, r.After+rand.N(newOwnerSpread))
-		r = s.decide(ctx, team, limit, tokens)
+	// The requests that were held until a new owner refills are more than it has credit for
+	// then, so that they ask again.
+	if began := time.Now(); r.Reason == quota.ReasonNewOwner {
+		for ctx.Err() == nil && !r.Grant && r.Reason != quota.ReasonTooLarge && time.Since(began)+r.After < maxNewOwnerWait {
+			sleep.For(ctx, r.After+rand.N(newOwnerSpread))
+			r = s.decide(ctx, team, limit, tokens)
+		}
 	}
 	if r.Grant {
 		sleep.For(ctx, r.After)
