relay: the wait behind held work is computed once per decision

Cause: a request that is held computed the work before it twice for each decision, and formatted two log fields; a burst holds hundreds of requests that decide up to a hundred times a second.

Change: admit keeps the wait for hold, the fields are numbers.

Result: the tests of ./platform for model work pass; the cost was not measured.

--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -57,6 +57,9 @@
 	urgency placement.Urgency
 	// team is the load of the request's team at the last choice of a prefill engine.
 	team placement.TeamLoad
+	// ahead is the expected time until the held requests before this one have been sent,
+	// as of the last admit.
+	ahead time.Duration
 	// held is set while the host holds the request back.
 	held *placement.HeldJob
 	// heldOverShare is set once the request was held because its team is over its share.
@@ -127,7 +130,8 @@
 // admit refuses work whose next event is expected after the deadline or the
 // caller's timeout, and marks work that will miss its target as late.
 func (g *generation) admit(c placement.Choice) *refusal.Refusal {
-	wait := g.expectedWait(c)
+	g.ahead = g.heldWait(c.Work)
+	wait := g.ahead + g.sendWait(c)
 	expected := g.x.elapsed() + wait
 	if g.x.route.Target > 0 && expected > g.x.route.Target && !g.job.Late {
 		g.job.Late, g.x.late = true, true
@@ -138,7 +142,7 @@
 	if excess <= 0 {
 		return nil
 	}
-	g.x.logFields["held_wait_ms"] = g.heldWait(c.Work).Milliseconds()
+	g.x.logFields["held_wait_ms"] = g.ahead.Milliseconds()
 	if g.team.OverShare() {
 		g.h.Metrics.RefusedOverShare.Add(1)
 	}
@@ -149,7 +153,12 @@
 // expectedWait returns the expected time until the next event if the prefill is sent
 // to the chosen engine now.
 func (g *generation) expectedWait(c placement.Choice) time.Duration {
-	return g.heldWait(c.Work) + c.Expected() + g.model.DecodeWait(g.job, g.h.health(), time.Now()) + firstEventLatency
+	return g.heldWait(c.Work) + g.sendWait(c)
+}
+
+// sendWait returns the same for a request that nothing holds back.
+func (g *generation) sendWait(c placement.Choice) time.Duration {
+	return c.Expected() + g.model.DecodeWait(g.job, g.h.health(), time.Now()) + firstEventLatency
 }
 
 // timeLeft returns how long the caller still waits for the next event.
@@ -181,7 +190,7 @@
 	}
 	g.team = g.model.Teams.Load(g.x.team, c.Shortest, target, time.Now())
 	if g.team.Overloaded {
-		g.x.logFields["team_part"], g.x.logFields["fair_part"] = fmt.Sprintf("%.4f", g.team.Part), fmt.Sprintf("%.4f", g.team.Fair)
+		g.x.logFields["team_part"], g.x.logFields["fair_part"] = math.Round(g.team.Part*1e4)/1e4, math.Round(g.team.Fair*1e4)/1e4
 		g.x.logFields["over_share"] = g.team.OverShare()
 	}
 }
@@ -217,7 +226,7 @@
 // hold keeps the request at this host for a while if no engine is to get it now, and
 // reports whether it did. A stream that is resumed is not held.
 func (g *generation) hold(c placement.Choice) bool {
-	d := placement.HoldTimeOfTeam(g.urgency, g.job.Late, c, g.team, g.heldWait(c.Work))
+	d := placement.HoldTimeOfTeam(g.urgency, g.job.Late, c, g.team, g.ahead)
 	if d <= 0 || g.lastDelivered != "" {
 		g.model.Held.Release(g.held)
 		g.held = nil
