placement: refused requests count for their team

Cause: callers that return at once, again and again, get more chances than those that follow Retry-After, at no cost to their team.

Change: under overload each refusal counts as a fiftieth of the request's work.

--- a/pkg/placement/sharing_test.go
+++ b/pkg/placement/sharing_test.go
@@ -120,6 +120,9 @@
 		}
 		if left := callerPatience - waited; wait > left {
 			m.Held.Release(held)
+			if sharing {
+				m.Teams.Refused(name, c.Work, now)
+			}
 			after := max(wait-left, 400*time.Millisecond)
 			if sharing {
 				after = RetryAfter(after, left, callerPatience, rng.Float64())
@@ -250,3 +253,26 @@
 		t.Errorf("the older one returns after %v, the newer one after %v", old, recent)
 	}
 }
+
+// TestRefusedReturnsCountForTheirTeam guards against callers that return at once, again
+// and again, and so get more chances than those of a team that waits. Without overload a
+// refusal has other causes.
+func TestRefusedReturnsCountForTheirTeam(t *testing.T) {
+	const work = 100 * time.Millisecond
+	for _, overloaded := range []bool{true, false} {
+		teams := newTeams()
+		if overloaded {
+			teams.Load("", urgentTarget, urgentTarget, replayStart)
+		}
+		for range 10 {
+			teams.Add("patient", work, replayStart)
+			teams.Add("impatient", work, replayStart)
+		}
+		for range 500 {
+			teams.Refused("impatient", work, replayStart)
+		}
+		if got := teams.Share("impatient").Over(); got != overloaded {
+			t.Errorf("overloaded %t: the team whose callers return at once is over its share: %t", overloaded, got)
+		}
+	}
+}
--- a/pkg/placement/teams.go
+++ b/pkg/placement/teams.go
@@ -16,6 +16,10 @@
 	// backlog was too long. Over-share work that is sent as soon as the backlog is short
 	// makes the next one.
 	overloadMemory = time.Second
+	// refusedCost is the part of its work that a refused request counts for. Callers that
+	// return at once, again and again, thereby use up their own team's share; those that
+	// follow Retry-After return up to three times.
+	refusedCost = 0.02
 )
 
 // Teams is what a host knows of the work that all hosts have recently sent to the
@@ -43,6 +47,14 @@
 	t.unreported.Add(team, ms)
 }
 
+// Refused counts a request of a team that was refused under overload, as refusedCost of
+// its work.
+func (t *Teams) Refused(team string, work time.Duration, now time.Time) {
+	if t.Overloaded(now) {
+		t.Add(team, time.Duration(refusedCost*float64(work)), now)
+	}
+}
+
 // AddPeer counts work in milliseconds that another host has sent for a team.
 func (t *Teams) AddPeer(team string, ms float64, now time.Time) { t.ledger.AddPeer(team, ms, now) }
 
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -143,6 +143,7 @@
 		return nil
 	}
 	g.x.logFields["held_wait_ms"] = g.ahead.Milliseconds()
+	g.model.Teams.Refused(g.x.team, c.Work, time.Now())
 	if g.team.OverShare() {
 		g.h.Metrics.RefusedOverShare.Add(1)
 	}
