--- a/pkg/placement/doc.go
+++ b/pkg/placement/doc.go
@@ -11,7 +11,8 @@
 // engine can prefill them (the part is computed once and then copied over the
 // links to other engines); bursts of long prompts (the engine that finishes
 // first is chosen, not the one with the longest cached prefix); many hosts that
-// decide concurrently (each host counts the sends of the others).
+// decide concurrently (each host counts the sends of the others); a burst of one team
+// under overload (its work waits for that of the other teams, see sharing.go).
 //
 // If reports from other hosts are lost, their work goes unnoticed until this
 // host's sends take longer than expected. The state of an engine is reset when
