membudget, gate: charge heads twice, and answers of services while they are read

Cause: test/crowd failed: with heads that arrive byte by byte (relay 151 MB, serve 155 MB of 144), because the server parses what has arrived of a head and so holds it twice; with answers that are not read (serve 150 MB), because the gate's client read the answers of services without a charge. Change: a head being read is charged twice its buffer; the charge of answers is in pkg/membudget and used by the gate's client as by pkg/upstream.

--- a/pkg/callerconn/memory.go
+++ b/pkg/callerconn/memory.go
@@ -184,11 +184,15 @@
 	limited bool
 }
 
+// headCopies is how many times a head that is being read may be held: the server parses
+// what has arrived of it, so that the fields take about as much as the buffer.
+const headCopies = 2
+
 func (a *account) beginRequest() {
 	a.read, a.body, a.chunked, a.refused, a.limited, a.copies = 0, 0, false, false, false, 1
 	// No request has been read yet, so the connection may as well be closed at once.
-	a.wanted = a.memory.readBuffer
-	a.refused = !a.share.BeginRead(a.memory.readBuffer, time.Now())
+	a.wanted = headCopies * a.memory.readBuffer
+	a.refused = !a.share.BeginRead(a.wanted, time.Now())
 }
 
 func (a *account) endRequest() {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -288,6 +288,7 @@
 	g.conns.Limit(opts.Limits.Concurrency, opts.Log)
 	if opts.Services != nil {
 		opts.Services.freeDescriptor = g.FreeDescriptor
+		opts.Services.answers = membudget.NewAnswers(g.memory)
 	}
 	g.writes.Timeout = func() time.Duration { return opts.Limits.WriteProgressTimeout }
 	return g
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
+	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/retryafter"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
@@ -42,6 +43,27 @@
 	// freeDescriptor closes a connection that can be spared and reports whether there was
 	// one; nil before New of a gate.
 	freeDescriptor func() bool
+	// answers bounds the answers that are being read; nil before New of a gate.
+	answers *membudget.Answers
+}
+
+// chargedConn charges what is read of an answer, and again as much for the growth of the
+// buffer that it is read into.
+type chargedConn struct {
+	net.Conn
+	answer *membudget.Answer
+	done   <-chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *chargedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if takeErr := c.answer.Take(2*n, c.done); takeErr != nil {
+			return 0, takeErr
+		}
+	}
+	return n, err
 }
 
 // NewServiceClient returns a client. It calls tlsConfig for each connection; nil
@@ -73,12 +95,14 @@
 		conn = tlsConn
 	}
 	defer func() { _ = conn.Close() }()
+	charge := c.answers.Begin()
+	defer charge.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	if err := ctx.Err(); err != nil {
 		return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 	}
-	return exchange(ctx, conn, address, request)
+	return exchange(ctx, &chargedConn{Conn: conn, answer: charge, done: ctx.Done()}, address, request)
 }
 
 func exchange(ctx context.Context, conn net.Conn, address string, request *ServiceRequest) (ServiceAnswer, error) {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -50,12 +50,12 @@
 // Client sends requests to peers. It is safe for concurrent use.
 type Client struct {
 	pool   pool
-	bodies budget
+	bodies *membudget.Answers
 }
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	return &Client{bodies: budget{memory: opts.Memory, beyond: make(chan struct{}, 1)}, pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
+	return &Client{bodies: membudget.NewAnswers(opts.Memory), pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
@@ -103,7 +103,7 @@
 	conn     *conn
 	pool     *pool
 	// bodies bounds the bodies in memory, see ReadAll. done ends the wait for memory.
-	bodies *budget
+	bodies *membudget.Answers
 	done   <-chan struct{}
 	// stopCtxWatch keeps the end of the request's context from closing the
 	// connection. It returns false if the context has ended already.
@@ -171,14 +171,14 @@
 		if err != nil {
 			return nil, err
 		}
-		answer.bodies = &c.bodies
+		answer.bodies = c.bodies
 		if strays > 0 {
 			answer.reusable = false
 		}
 		if req.Belongs == nil || req.Belongs(answer) || !cn.reused || !answer.framed || strays >= maxStrayAnswers {
 			return answer, nil
 		}
-		if _, err := readBounded(answer, maxStrayBytes, &c.bodies, nil); err != nil {
+		if _, err := readBounded(answer, maxStrayBytes, c.bodies, nil); err != nil {
 			return nil, errors.Wrap(err, "skip an answer to an earlier request")
 		}
 	}
--- a/test/crowd/programs_test.go
+++ b/test/crowd/programs_test.go
@@ -105,7 +105,7 @@
 	d := e2e.Start(t, e2e.Options{
 		Domains: []string{domain}, HostOpenFiles: openFiles, EngineFlags: []string{"--max-batch=512", "--kv-tokens=2000000"},
 		EditSettings: func(s *settings.Settings) {
-			s.Limits.BodyBytes, s.Limits.HeaderBytes = bodyLimit, headerLimit
+			s.Limits.BodyBytes, s.Limits.HeaderBytes, s.Limits.Memory = bodyLimit, headerLimit, serveMemoryMB<<20
 			// A body in one-byte chunks must not be cut off on a slow machine.
 			s.Limits.ReadProgress = settings.Duration(30 * time.Second)
 			s.Log.Level = "info"
