placement: hosts do not share the speeds of engines

Cause: with shared time factors 62 hosts chose the same engines within the delay of their reports. No limit of endpoints, no decode speeds and no shared prefill times did not change it. Hosts still share the times of prefills.

--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -131,10 +131,8 @@
 	// OnCached receives parts that an engine holds.
 	OnCached func(service, engine string, parts []placement.Part)
 	// OnPace receives what another host has learned of a limited endpoint, with the
-	// endpoint's start time in Unix milliseconds, OnSpeed what it has measured of an
-	// engine's speed.
-	OnPace  func(p pace.Report, startedMillis int64)
-	OnSpeed func(service string, s placement.SpeedReport)
+	// endpoint's start time in Unix milliseconds.
+	OnPace func(p pace.Report, startedMillis int64)
 	// OnTeamWork receives the work of a team that another host has sent to engines, in
 	// milliseconds.
 	OnTeamWork func(service, team string, ms float64)
@@ -293,12 +291,6 @@
 	x.enqueueSend(report{Service: service, Phase: phasePrefilled, Parts: []uint64{uint64(s.Tokens), uint64(s.Took.Microseconds())}})
 }
 
-// ReportSpeed queues what this host has measured of an engine's speed.
-func (x *Exchange) ReportSpeed(service string, s placement.SpeedReport) {
-	x.enqueueSend(report{Service: service, Engine: s.EngineID, Phase: phaseSpeed,
-		Parts: []uint64{uint64(s.Samples), uint64(s.TimeFactor * scale)}})
-}
-
 // ReportTeamWork queues the work of a team that this host has sent to engines, in
 // milliseconds.
 func (x *Exchange) ReportTeamWork(service, team string, ms float64) {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -91,11 +91,6 @@
 				x.opts.OnPrefilled(r.Service, sample)
 			}
 			continue
-		case phaseSpeed:
-			if s, ok := r.speed(); ok {
-				x.opts.OnSpeed(r.Service, s)
-			}
-			continue
 		case phaseTeamWork:
 			if ms, ok := r.teamWork(); ok {
 				x.opts.OnTeamWork(r.Service, r.Engine, ms)
--- a/pkg/loadshare/report.go
+++ b/pkg/loadshare/report.go
@@ -39,11 +39,9 @@
 	phaseLeaving = 7
 	// phasePace holds what the sender has learned of a limited endpoint: Parts are its
 	// start time, the answers in time, the late ones, the refusals, the sender's window
-	// in thousandths and the reason. phaseSpeed holds the number of measurements of an
-	// engine's time factor and their mean in thousandths. Both have no Sizes, so that
-	// earlier versions ignore them.
-	phasePace  = 8
-	phaseSpeed = 9
+	// in thousandths and the reason. It has no Sizes, so that earlier
+	// versions ignore it.
+	phasePace = 8
 	// phaseDecoded tells the duration of a stream, see decodedReport. Earlier versions
 	// take it for a send without work.
 	phaseDecoded = 12
@@ -78,14 +76,6 @@
 		Counts: pace.Counts{Good: int(r.Parts[1]), Late: int(r.Parts[2]), Refused: int(r.Parts[3])}}, int64(r.Parts[0]), true
 }
 
-// speed returns the content of a report with phaseSpeed.
-func (r report) speed() (placement.SpeedReport, bool) {
-	if len(r.Parts) != 2 || r.Parts[0] == 0 || slices.Max(r.Parts) > math.MaxInt32 {
-		return placement.SpeedReport{}, false
-	}
-	return placement.SpeedReport{EngineID: r.Engine, Samples: int(r.Parts[0]), TimeFactor: float64(r.Parts[1]) / scale}, true
-}
-
 // failureKind returns the kind of failure of a report of an ejection.
 func (r report) failureKind() outlier.FailureKind {
 	if len(r.Parts) == 1 && r.Parts[0] <= uint64(outlier.Refused) {
@@ -163,7 +153,7 @@
 
 // prefillSample returns the content of a report with phasePrefilled.
 func (r report) prefillSample() (placement.PrefillSample, bool) {
-	if len(r.Parts) != 2 || slices.Max(r.Parts) > math.MaxInt32 {
+	if len(r.Parts) != 2 || r.Parts[0] == 0 || slices.Max(r.Parts) > math.MaxInt32 {
 		return placement.PrefillSample{}, false
 	}
 	return placement.PrefillSample{Tokens: int(r.Parts[0]), Took: time.Duration(r.Parts[1]) * time.Microsecond}, true
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -83,7 +83,7 @@
 		c := m.prefillChoice(e, job, source, longest, now)
 		shortest = min(shortest, c.Wait)
 		recomputed := max(0, pending-(job.PromptTokens-c.Uncached))
-		cost := c.Expected() + time.Duration(weight*float64(m.speed.prefillTime(recomputed, e.timeFactor.value)))
+		cost := c.Expected() + time.Duration(weight*float64(m.speed.prefillTime(recomputed, e.timeFactor)))
 		cost += tieBreak(job, e)
 		s.add(i, c, cost)
 	}
@@ -123,7 +123,7 @@
 		cached = longest
 	}
 	c.Uncached = max(job.PromptTokens-cached, 1)
-	c.Work = c.Copying + m.speed.prefillTime(c.Uncached, e.timeFactor.value)
+	c.Work = c.Copying + m.speed.prefillTime(c.Uncached, e.timeFactor)
 	return c
 }
 
@@ -179,7 +179,7 @@
 		c := Choice{Engine: e.member, Uncached: max(job.PromptTokens-own, 1), Wait: e.wait(now), Latency: m.speed.latency}
 		// A decode engine prefills at half the speed because its streams
 		// continue.
-		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor.value)
+		c.Work = 2 * m.speed.prefillTime(c.Uncached, e.timeFactor)
 		var delay time.Duration
 		c.Decoding, delay = m.decodeTime(e, job, now)
 		s.add(i, c, c.Expected()+m.slotPenalty(e, now)+c.Decoding+delay)
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -47,7 +47,7 @@
 	// linkFreeAt is when the transfers to the engine are expected to be done.
 	linkFreeAt time.Time
 	// timeFactor is the engine's prefill time relative to the fleet's mean.
-	timeFactor timeFactor
+	timeFactor float64
 	// blockedUntil is when the engine is expected to accept work again after it
 	// refused a request or was ordered to change its role.
 	blockedUntil time.Time
@@ -144,7 +144,7 @@
 			e.blockedUntil = time.Time{}
 		}
 		if e == nil || e.member.StartedMillis != member.StartedMillis {
-			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: newTimeFactor()}
+			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: 1}
 		}
 		e.member = member
 		next[member.ID] = e
@@ -238,7 +238,7 @@
 	for _, p := range parts {
 		left += p.Tokens
 	}
-	return m.speed.prefillTime(left, e.timeFactor.value)
+	return m.speed.prefillTime(left, e.timeFactor)
 }
 
 // ApplyCached records that an engine holds parts, as it says itself.
@@ -319,7 +319,7 @@
 // It must be called with mu held.
 func (m *Model) updateEstimates(e *engine, s *InFlightSend, now time.Time) {
 	if s.engineIdle {
-		m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, &e.timeFactor)
+		e.timeFactor = m.speed.observe(s.uncached, now.Sub(s.sentAt)-s.copyTime, e.timeFactor)
 	}
 	// Sends that were in flight together are late by the same queue, so what has been
 	// corrected since this one began is not corrected again.
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -25,77 +25,16 @@
 	// queuedFactor is the ratio of measured to expected time above which a
 	// prefill is assumed to have queued behind unknown work.
 	queuedFactor = 2.0
-	// maxUnusual is the number of consecutive prefills of an engine above
-	// queuedFactor after which the engine is assumed to be slower than known.
-	maxUnusual = 3
-	// timeFactorGain is the least weight of one measurement in an engine's time
-	// factor; the first ones weigh more. Engines of one service take 0.6 to 1.6 of
-	// the mean time, some 2.5 times as long at times; the bounds leave room for the
-	// error of a mean that is learned mostly from fast engines. Prompts shorter
+	// timeFactorGain is the weight of one measurement in an engine's time
+	// factor. Hosts do not share the factors: dozens of hosts would choose the same
+	// engines within the delay of their reports. The factor stays between 1/maxTimeFactor and maxTimeFactor,
+	// because engines of one service differ by less. Prompts shorter
 	// than minTimeFactorTokens are not used for it.
 	timeFactorGain      = 0.1
-	priorSamples        = 3
-	minTimeFactor       = 0.4
-	maxTimeFactor       = 4
+	maxTimeFactor       = 1.6
 	minTimeFactorTokens = 2500
-	// maxReportedSamples bounds the measurements that one report of another host
-	// counts for.
-	maxReportedSamples = 20
 )
 
-// timeFactor is an engine's prefill time relative to the fleet's mean.
-type timeFactor struct {
-	value   float64
-	samples int
-	// unusual counts the last consecutive prefills above queuedFactor.
-	unusual int
-	// sum and count are the measurements of this host since its last report.
-	sum   float64
-	count int
-}
-
-func newTimeFactor() timeFactor { return timeFactor{value: 1} }
-
-// add adds n measurements with the mean ratio.
-func (f *timeFactor) add(ratio float64, n int) {
-	gain := max(timeFactorGain, 1/float64(priorSamples+f.samples))
-	keep := math.Pow(1-gain, float64(n))
-	f.value = keep*f.value + (1-keep)*min(max(ratio, minTimeFactor), maxTimeFactor)
-	f.samples += n
-}
-
-// SpeedReport is what a host has measured of an engine's speed: the mean of its time
-// factor in a number of prefills.
-type SpeedReport struct {
-	EngineID   string
-	Samples    int
-	TimeFactor float64
-}
-
-// TakeSpeeds returns what this host has measured since the last call, for the other
-// hosts.
-func (m *Model) TakeSpeeds() []SpeedReport {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []SpeedReport
-	for _, e := range m.order {
-		if f := &e.timeFactor; f.count > 0 {
-			out = append(out, SpeedReport{EngineID: e.member.ID, Samples: f.count, TimeFactor: f.sum / float64(f.count)})
-			f.sum, f.count = 0, 0
-		}
-	}
-	return out
-}
-
-// ApplyPeerSpeed applies what another host has measured.
-func (m *Model) ApplyPeerSpeed(r SpeedReport) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if e := m.engines[r.EngineID]; e != nil && r.Samples > 0 {
-		e.timeFactor.add(r.TimeFactor, min(r.Samples, maxReportedSamples))
-	}
-}
-
 // TakePrefillSample returns the last prefill that this host has measured since the last
 // call, for the other hosts.
 //
@@ -152,25 +91,21 @@
 	return time.Duration(float64(tokens) * factor / s.tokensPerSecond * float64(time.Second))
 }
 
-// observe adds a prefill at an idle engine to the estimate and to the engine's time
+// observe adds a prefill at an idle engine and returns the engine's new time
 // factor.
-func (s *prefillSpeed) observe(tokens int, took time.Duration, factor *timeFactor) {
-	expected := s.latency + s.prefillTime(tokens, factor.value)
+func (s *prefillSpeed) observe(tokens int, took time.Duration, factor float64) float64 {
+	expected := s.latency + s.prefillTime(tokens, factor)
 	if took > time.Duration(queuedFactor*float64(expected)) && len(s.sizes) >= minFitSamples {
-		if factor.unusual++; factor.unusual < maxUnusual {
-			return
-		}
+		return factor
 	}
-	factor.unusual = 0
 	s.add(float64(tokens), took.Seconds())
 	s.unreported = PrefillSample{tokens, took}
 	if tokens >= minTimeFactorTokens {
 		measured := (took - s.latency).Seconds() / s.prefillTime(tokens, 1).Seconds()
-		measured = min(max(measured, minTimeFactor), maxTimeFactor)
-		factor.add(measured, 1)
-		factor.sum += measured
-		factor.count++
+		measured = min(max(measured, 1/maxTimeFactor), maxTimeFactor)
+		factor += timeFactorGain * (measured - factor)
 	}
+	return factor
 }
 
 func (s *prefillSpeed) add(tokens, seconds float64) {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -236,7 +236,7 @@
 	defer func() { _ = peerConn.Close() }()
 	h.exchange = loadshare.New(loadshare.Options{
 		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
-		OnSend: h.applyPeerSend, OnDecoded: h.applyPeerDecode, OnPrefilled: h.applyPeerPrefill, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving, OnPace: h.applyPeerPace, OnSpeed: h.applyPeerSpeed, OnTeamWork: h.applyPeerTeamWork,
+		OnSend: h.applyPeerSend, OnDecoded: h.applyPeerDecode, OnPrefilled: h.applyPeerPrefill, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving, OnPace: h.applyPeerPace, OnTeamWork: h.applyPeerTeamWork,
 		OnCrash: h.guard.ApplyEvidence, OnRefuted: h.applyRefuted, OnUsage: h.acceptUsage, OnQuota: h.quotas.Receive,
 		ReadProgress: h.readProgress, Leads: h.leads, OnProgress: h.applyPeerProgress, OnPage: h.offerPage, Log: h.log,
 	})
--- a/pkg/relayhost/pace.go
+++ b/pkg/relayhost/pace.go
@@ -15,9 +15,6 @@
 	// paceInterval is how often a host reports what it has learned of limited
 	// endpoints. It is about the time of a request.
 	paceInterval = 100 * time.Millisecond
-	// speedInterval is how often a host reports what it has measured of the speed of
-	// engines, which changes slowly.
-	speedInterval = time.Second
 )
 
 // limitStarted limits an endpoint that has joined or restarted. Endpoints that were
@@ -46,21 +43,16 @@
 	}
 }
 
-func (h *Host) applyPeerSpeed(service string, s placement.SpeedReport) {
-	h.models.For(service).ApplyPeerSpeed(s)
-}
-
 // runPace reports what this host has learned of endpoints, and logs limits that begin
 // and end, until ctx ends.
 func (h *Host) runPace(ctx context.Context) {
 	ticker := time.NewTicker(paceInterval)
 	defer ticker.Stop()
-	speedsAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
 			h.pace.SetHosts(h.liveHosts())
 			for _, p := range h.pace.TakeReports() {
 				if m, found := h.fleet.Find(p.ID); found {
@@ -69,26 +61,6 @@
 			}
 			h.logLimits()
 			h.reportPrefills()
-			if now.Sub(speedsAt) >= speedInterval {
-				speedsAt = now
-				h.reportSpeeds()
-			}
-		}
-	}
-}
-
-func (h *Host) reportSpeeds() {
-	table, err := h.routes.Current()
-	if err != nil {
-		// Without a configuration no service is known.
-		return
-	}
-	for _, s := range table.Services() {
-		if s.Engine == nil {
-			continue
-		}
-		for _, speed := range h.models.For(s.Name).TakeSpeeds() {
-			h.exchange.ReportSpeed(s.Name, speed)
 		}
 	}
 }
