--- a/pkg/relayhost/limits.go
+++ b/pkg/relayhost/limits.go
@@ -33,6 +33,11 @@
 	writeProgressTimeout = 20 * time.Second
 )
 
+// MaxBodyBytes returns the largest body that a host with the given memory accepts.
+func MaxBodyBytes(memoryBytes int64) int {
+	return max(defaultBodyBytes, int(maxBodyShare*float64(memoryBytes)))
+}
+
 // appliedLimits returns the limits that a host with the given memory applies if its
 // configuration has the limits l.
 func appliedLimits(l routes.Limits, memoryBytes int64) routes.Limits {
@@ -44,7 +49,7 @@
 	}
 	return routes.Limits{
 		HeaderBytes:   min(l.HeaderBytes, maxHeaderBytes),
-		BodyBytes:     min(l.BodyBytes, max(defaultBodyBytes, int(maxBodyShare*float64(memoryBytes)))),
+		BodyBytes:     min(l.BodyBytes, MaxBodyBytes(memoryBytes)),
 		HeaderTimeout: min(max(l.HeaderTimeout, minHeaderTimeout), maxHeaderTimeout),
 		IdleTimeout:   min(max(l.IdleTimeout, minIdleTimeout), maxIdleTimeout),
 	}
