--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -3,7 +3,10 @@
 import (
 	"expvar"
 	"fmt"
+	"maps"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -85,6 +88,15 @@
 	line("ready", boolNumber(h.ready()))
 	if table, err := h.routes.Current(); err == nil {
 		line("configuration_version", table.Version())
+		for _, s := range table.Services() {
+			if s.Engine == nil {
+				continue
+			}
+			times := h.models.For(s.Name).DecodeTimes(time.Now())
+			for _, id := range slices.Sorted(maps.Keys(times)) {
+				line(fmt.Sprintf("engine_decode_ratio{service=%q,engine=%q}", s.Name, id), math.Round(100*times[id])/100)
+			}
+		}
 	}
 	for _, hist := range []struct {
 		name string
