membudget: small requests come in beside answers that nobody reads

Answers that waited took what was released, and the stalled ones are evicted only after 3 s. Change: answers use half of the reserve, and the Retry-After is at least the time until the answer that is unread longest may be evicted.

--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -50,6 +50,10 @@
 	defaultRetryAfter = time.Second
 )
 
+// answerReserveShare is the part of the reserve that answers may use. The rest is left
+// for small requests: answers that nobody reads would keep them out.
+const answerReserveShare = 0.5
+
 // SetCollector sets the garbage collector of a process with the given memory. Memory at
 // its peak is what the platform charges a host for, and kills it for.
 func SetCollector(memoryBytes int64) {
@@ -113,7 +117,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stats.Held+n > b.stats.Limit+b.reserve() {
+	if b.stats.Held+n > b.stats.Limit+b.answerReserve() {
 		return false
 	}
 	b.add(n, now)
@@ -140,7 +144,7 @@
 		return
 	}
 	b.mu.Lock()
-	victims := b.evict(b.stats.Held+n-b.stats.Limit-b.reserve(), now)
+	victims := b.evict(b.stats.Held+n-b.stats.Limit-b.answerReserve(), now)
 	b.mu.Unlock()
 	notify(victims)
 }
@@ -173,16 +177,36 @@
 	if excess <= 0 {
 		return minRetryAfter
 	}
-	perSecond := b.rate.perSecond(now)
-	if perSecond <= 0 {
-		return defaultRetryAfter
+	wait := defaultRetryAfter
+	if perSecond := b.rate.perSecond(now); perSecond > 0 {
+		wait = min(max(time.Duration(float64(excess)/perSecond*float64(time.Second)), minRetryAfter), maxRetryAfter)
 	}
-	return min(max(time.Duration(float64(excess)/perSecond*float64(time.Second)), minRetryAfter), maxRetryAfter)
+	return max(wait, b.untilStalled(now))
+}
+
+// untilStalled returns the time until the answer that has been unread longest may be
+// evicted, zero if none is unread for long. What is released meanwhile is taken by the
+// answers that wait. It must be called with mu held.
+func (b *Budget) untilStalled(now time.Time) time.Duration {
+	front := b.writing.Front()
+	if front == nil {
+		return 0
+	}
+	s, _ := front.Value.(*Share)
+	if age := now.Sub(s.since); age >= EvictAge && age < StalledWriteAge {
+		return StalledWriteAge - age
+	}
+	return 0
 }
 
 // reserve returns the bytes that may be used beyond the limit. b.mu must be held.
 func (b *Budget) reserve() int64 { return int64(reserveShare * float64(b.stats.Limit)) }
 
+// answerReserve returns the part of the reserve that answers may use.
+func (b *Budget) answerReserve() int64 {
+	return int64(answerReserveShare * float64(b.reserve()))
+}
+
 // bodyCharge returns what is charged for n bytes of a request. b.mu must be held.
 func (b *Budget) bodyCharge(n int64) int64 {
 	return min(n, max(smallBytes, int64(maxBodyShare*float64(b.stats.Limit))))
