placement, docs: correct the stated reason for not limiting small plain services

Cause: the comment and the note gave lost orders as the reason. The change of idle connections, made later, removed a cause of lost orders that those plays had as well, so that they do not show it. Change: comments and text only.

--- a/pkg/placement/plain.go
+++ b/pkg/placement/plain.go
@@ -17,9 +17,9 @@
 
 const (
 	// minLimitedService is the least number of endpoints of a service whose endpoints are
-	// limited after a start. With four, the others could not take the share of one: in
-	// plays of a day with four and 62 hosts, 20 to 128 of 2,247 orders found an endpoint
-	// that closed their connection, and 10 without limits.
+	// limited after a start: with four, the others may not be able to take the share of
+	// one. Plays that seemed to show this had another fault, see maxIdle in pkg/relay, and
+	// were not repeated without it.
 	minLimitedService = 8
 	// warmupCost is the cost of an endpoint that says that it is warming up, in service
 	// times, in a service whose endpoints are not limited.
