relay, gate: streams of endpoints without engines end and resume like others

Cause: the kind of the service, not that of the route, chose how the answer is read. At a service without engines every answer was read to the end of its connection and passed on as whole.

Change: the reader of events (stream) no longer belongs to the generation at an engine. A streamSource records progress and the end of a send and resumes the stream: a generation at engines, a plainRequest elsewhere. Last-Event-Id is passed on to both. In the gate a text/event-stream that ends inside an event is an answer that broke off.

Why it works: the end of the last event, not that of the connection or of a length, says that a stream is complete.

--- a/pkg/gate/answer_test.go
+++ b/pkg/gate/answer_test.go
@@ -66,6 +66,13 @@
 			}
 		}
 	}
+	// Nothing but its last event shows that a stream is whole.
+	stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	for body, whole := range map[string]bool{"id: 1\ndata: a\n\n": true, "id: 1\r\ndata: a\r\n\r\n": true, "id: 1\ndata: a\n\nid: 2\nda": false, "id: 1\ndata: a\n": false} {
+		if answer, err := call(stream+body, false); (err == nil) != whole {
+			t.Errorf("stream %q: got %q, %v", body, answer.Body, err)
+		}
+	}
 	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
 		for cut := range len(head) {
 			if answer, err := call(head[:cut], false); err == nil {
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -1,8 +1,10 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"mime"
 	"net"
 	"time"
 
@@ -138,6 +140,9 @@
 	if err := client.DoDeadline(req, resp, deadline); err != nil {
 		return ServiceAnswer{}, errors.Wrap(err, "exchange")
 	}
+	if brokenEventStream(&resp.Header, resp.Body()) {
+		return ServiceAnswer{}, errors.New("the stream of events ended inside an event")
+	}
 	return ServiceAnswer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
@@ -147,6 +152,17 @@
 	}, nil
 }
 
+// brokenEventStream reports whether a body is a stream of server-sent events that does not
+// end with an empty line: the service failed inside an event, and the framing of the
+// answer need not show it.
+func brokenEventStream(header *fasthttp.ResponseHeader, body []byte) bool {
+	mediaType, _, err := mime.ParseMediaType(string(header.ContentType()))
+	if err != nil || mediaType != "text/event-stream" || len(body) == 0 {
+		return false
+	}
+	return !bytes.HasSuffix(body, []byte("\n\n")) && !bytes.HasSuffix(body, []byte("\r\n\r\n")) && !bytes.HasSuffix(body, []byte("\r\r"))
+}
+
 func setNonEmpty(req *fasthttp.Request, name, value string) {
 	if value != "" {
 		req.Header.Set(name, value)
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -71,6 +71,9 @@
 	// late says that the request got a lower priority because it was expected to
 	// miss its target.
 	late bool
+	// lastDelivered is the id of the last event that the caller has received; empty if it
+	// has received none.
+	lastDelivered string
 	// logFields holds the decisions made for the request, for its log line.
 	logFields log.Fields
 	// streaming says that the answer is written after the handler has returned.
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -13,6 +13,7 @@
 	"github.com/clementineshed/clementineshed/pkg/fleet"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 )
 
@@ -66,8 +67,6 @@
 	held *placement.HeldJob
 	// heldOverShare is set once the request was held because its team is over its share.
 	heldOverShare bool
-	// lastDelivered is the id of the last event that the caller has received.
-	lastDelivered string
 	// progressAt is when the last event arrived, zero before the first one.
 	progressAt time.Time
 	// silentEngine is the decode engine that was given up last because it was silent;
@@ -78,14 +77,14 @@
 // generate serves a request for model work.
 func (h *Handler) generate(x *exchange, model *placement.Model) *refusal.Refusal {
 	p := x.call.Prompt
-	g := &generation{h: h, x: x, model: model, lastDelivered: x.call.LastEventID,
+	g := &generation{h: h, x: x, model: model,
 		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputLimit: p.MaxOutput}}
 	defer func() { model.Held.Release(g.held) }()
 	stream, r := g.open()
 	if r != nil {
 		return r
 	}
-	return g.forwardStream(stream)
+	return x.forwardStream(stream)
 }
 
 // open runs the prefill and starts the decode. The head of the returned stream's
@@ -216,7 +215,7 @@
 // takes an engine for the time work, have been sent.
 func (g *generation) heldWait(work time.Duration) time.Duration {
 	switch {
-	case g.lastDelivered != "":
+	case g.x.lastDelivered != "":
 		return 0
 	case g.team.OverShare():
 		return g.model.HeldWaitOfTeam(g.team, g.urgency, g.job.Late, work, g.x.arrived, time.Now(), g.h.LiveHosts())
@@ -230,7 +229,7 @@
 // reports whether it did. A stream that is resumed is not held.
 func (g *generation) hold(c placement.Choice) bool {
 	d := placement.HoldTimeOfTeam(g.urgency, g.job.Late, c, g.team, g.ahead)
-	if d <= 0 || g.lastDelivered != "" {
+	if d <= 0 || g.x.lastDelivered != "" {
 		g.model.Held.Release(g.held)
 		g.held = nil
 		return false
@@ -294,7 +293,7 @@
 
 // sendPrefill sends the prefill request and returns the id of the handle.
 func (g *generation) sendPrefill(c placement.Choice, limit time.Duration) (string, error) {
-	opts := ForwardOptions{Phase: PhasePrefill, HasPriority: true, Priority: g.priority(), CopyFrom: c.Source.Address, LastEventID: g.lastDelivered}
+	opts := ForwardOptions{Phase: PhasePrefill, HasPriority: true, Priority: g.priority(), CopyFrom: c.Source.Address, LastEventID: g.x.lastDelivered}
 	answer, err := g.h.send(g.x, c.Engine, opts, headLimit{limit, g.silentPrefill(c.Engine)}, false)
 	if err != nil {
 		return "", err
@@ -429,7 +428,7 @@
 	inFlight, sent := g.model.BeginSend(endpoint.RoleDecode, g.job, c, now)
 	undoCount := g.countWork(endpoint.RoleDecode, c)
 	g.h.OnSent(g.x.service, sent)
-	opts.HasPriority, opts.Priority, opts.LastEventID = true, g.priority(), g.lastDelivered
+	opts.HasPriority, opts.Priority, opts.LastEventID = true, g.priority(), g.x.lastDelivered
 	g.x.logFields["decode_at"], g.x.logFields["decode_expected_ms"] = c.Engine.ID, c.Decoding.Milliseconds()
 	var limit headLimit
 	if g.x.route.MayRepeat() && g.x.attempts+1 < g.x.route.MaxAttempts {
@@ -444,13 +443,51 @@
 		g.model.EndSend(inFlight, placement.Failed, time.Now())
 		return nil, err
 	}
-	s := &stream{g: g, answer: answer, member: c.Engine, inFlight: inFlight, sentAt: now}
+	s := &stream{x: g.x, source: g, answer: answer, member: c.Engine, sentAt: now, inFlight: inFlight}
 	if opts.Phase == PhaseDecode || c.Uncached > 0 {
 		s.expected = c.Expected() + firstEventLatency
 	}
 	return s, nil
 }
 
+// silence implements streamSource.
+func (g *generation) silence(s *stream) func(time.Time) retry.Silence {
+	if !g.x.mayResume() {
+		return nil
+	}
+	return g.silentDecode(s.member, g.x.attempts)
+}
+
+// progressed implements streamSource.
+func (g *generation) progressed(s *stream) {
+	if g.progressAt = s.eventAt; s.eventAt.Equal(s.firstEventAt) && s.expected > 0 {
+		g.h.Pace.Answered(s.member.ID, s.sentAt, s.expected, s.eventAt)
+	}
+}
+
+// ended implements streamSource.
+func (g *generation) ended(s *stream, outcome placement.Outcome) {
+	now := time.Now()
+	if outcome == placement.Completed {
+		sample, ok := g.model.ObserveDecode(s.inFlight, g.job.OutputLimit, s.events-s.firstEvents, s.eventAt.Sub(s.firstEventAt), now)
+		if ok {
+			g.h.OnDecoded(g.x.service, sample)
+		}
+	}
+	g.model.EndSend(s.inFlight, outcome, now)
+}
+
+// resume implements streamSource.
+func (g *generation) resume(s *stream, cause error) (*stream, *refusal.Refusal) {
+	g.job.Exclude = append(g.job.Exclude, s.member.ID)
+	g.avoidSilent(s.member)
+	if !g.mayRetryRun(cause) {
+		return nil, streamBrokenRefusal(cause)
+	}
+	g.h.Metrics.Resumed.Add(1)
+	return g.open()
+}
+
 // openWithoutPrefill asks a decode engine for the prefill as well, because no
 // prefill engine is left.
 func (g *generation) openWithoutPrefill() (*stream, *refusal.Refusal) {
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -7,7 +7,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
@@ -30,75 +32,142 @@
 	body     []byte
 }
 
-// endPlain ends a request that is not sent again: with the last failure that an endpoint
+// plainRequest serves one request at a service without engines. A stream of events is
+// passed on as it arrives, any other answer once it is complete.
+type plainRequest struct {
+	h *Handler
+	x *exchange
+	// tried lists the endpoints that the request was sent to.
+	tried []string
+	// lastErr is the error of the last send, nil after an answer. failed is the last
+	// answer after which the request was sent again, nil if there was none or a stream has
+	// begun.
+	lastErr error
+	failed  *failedAnswer
+	// unreachable counts the endpoints that could not be reached.
+	unreachable int
+	// refusedAfterFailure says that an endpoint without room has left the repetition of a
+	// failed request to another one.
+	refusedAfterFailure bool
+}
+
+// plainAnswer is the answer of an endpoint without an engine: complete with its body, or
+// a stream of which only the head has been read.
+type plainAnswer struct {
+	head   *upstream.Answer
+	body   []byte
+	stream *stream
+}
+
+// serve answers the request, or returns the refusal to send.
+func (p *plainRequest) serve() *refusal.Refusal {
+	s, r := p.send()
+	if r != nil {
+		return r
+	}
+	return p.x.forwardStream(s)
+}
+
+// end ends a request that is not sent again: with the last failure that an endpoint
 // answered with, which tells the caller more than a refusal, or with a refusal.
-func (h *Handler) endPlain(x *exchange, failed *failedAnswer, err error) *refusal.Refusal {
-	if failed == nil {
-		return h.noEndpointRefusal(x, err)
+func (p *plainRequest) end() *refusal.Refusal {
+	if p.failed == nil {
+		return p.h.noEndpointRefusal(p.x, p.lastErr)
 	}
-	x.logFields["endpoint"] = failed.endpoint
-	if err != nil {
-		x.logFields["cause"] = err.Error()
+	p.x.logFields["endpoint"] = p.failed.endpoint
+	if p.lastErr != nil {
+		p.x.logFields["cause"] = p.lastErr.Error()
 	}
-	x.respond(failed.answer, failed.body)
+	p.x.respond(p.failed.answer, p.failed.body)
 	return nil
 }
 
-// servePlain serves a request to a service without engines. The answer is not
-// streamed.
-func (h *Handler) servePlain(x *exchange) *refusal.Refusal {
-	var tried []string
-	var lastErr error
-	var failed *failedAnswer
-	refusedAfterFailure := false
-	for notSentCount := 0; ; {
+// send sends the request to endpoints until it is answered. Both results are nil if the
+// answer was passed on completely.
+func (p *plainRequest) send() (*stream, *refusal.Refusal) {
+	h, x := p.h, p.x
+	for {
 		if r := x.cancellationRefusal(); r != nil {
-			return r
+			return nil, r
 		}
 		if r := h.quarantineRefusal(x); r != nil {
-			return r
+			return nil, r
 		}
 		sentAt := time.Now()
-		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), tried, h.health(), sentAt)
+		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), p.tried, h.health(), sentAt)
 		if !ok {
-			return h.endPlain(x, failed, lastErr)
+			return nil, p.end()
 		}
 		sent := h.Balancer.Report(member)
 		h.OnSent(x.service, sent)
 		x.logFields["expected_ms"] = sent.WorkMicros / 1000
-		answer, body, err := h.sendPlain(x, member, tried)
-		h.Balancer.Done(member, sentAt, err == nil && answer.Status < 500, time.Now())
-		if err == nil && !h.isRetryableAnswer(x, answer) {
+		got, err := p.sendTo(member, sentAt)
+		if got.stream == nil {
+			h.Balancer.Done(member, sentAt, err == nil && got.head.Status < 500, time.Now())
+		}
+		p.tried = append(p.tried, member.ID)
+		if err == nil && !h.isRetryableAnswer(x, got.head) {
 			x.logFields["endpoint"] = member.ID
-			x.respond(answer, body)
-			return nil
+			if got.stream == nil {
+				x.respond(got.head, got.body)
+			}
+			return got.stream, nil
 		}
 		if err != nil {
-			lastErr = err
+			p.lastErr = err
 		} else {
-			failed, lastErr = &failedAnswer{member.ID, answer, body}, nil
+			p.failed, p.lastErr = &failedAnswer{member.ID, got.head, got.body}, nil
 		}
-		tried = append(tried, member.ID)
 		if notSent(err) {
-			if notSentCount++; notSentCount < maxUnreachableEndpoints {
+			if p.unreachable++; p.unreachable < maxUnreachableEndpoints {
 				continue
 			}
-			return h.endPlain(x, failed, lastErr)
+			return nil, p.end()
 		}
-		if failed != nil && provesNotRun(err) && !misdirected(err) && !refusedAfterFailure {
+		if p.failed != nil && provesNotRun(err) && !misdirected(err) && !p.refusedAfterFailure {
 			// An endpoint without room leaves the repetition to another one, once.
-			refusedAfterFailure = true
+			p.refusedAfterFailure = true
 			x.attempts--
 		}
 		if r := x.cancellationRefusal(); r != nil {
-			return r
+			return nil, r
 		}
-		if h.mayRetry(x, err) {
-			h.Metrics.Retries.Add(1)
-			continue
+		if !h.mayRetry(x, err) {
+			return nil, p.end()
 		}
-		return h.endPlain(x, failed, lastErr)
+		h.Metrics.Retries.Add(1)
+	}
+}
+
+// silence implements streamSource.
+func (p *plainRequest) silence(*stream) func(time.Time) retry.Silence {
+	if !p.x.mayResume() {
+		return nil
 	}
+	return p.h.silentPlain(p.x, p.tried, p.x.attempts)
+}
+
+// progressed implements streamSource. The answers that failed before are of no use once
+// the head of a stream is sent.
+func (p *plainRequest) progressed(*stream) { p.failed = nil }
+
+// ended implements streamSource.
+func (p *plainRequest) ended(s *stream, outcome placement.Outcome) {
+	now, complete := time.Now(), outcome == placement.Completed
+	p.h.Balancer.Done(s.member, s.sentAt, complete, now)
+	if complete {
+		p.h.Pace.AnsweredTypical(s.member.Service, s.member.ID, s.sentAt, now)
+	}
+}
+
+// resume implements streamSource.
+func (p *plainRequest) resume(_ *stream, cause error) (*stream, *refusal.Refusal) {
+	if !p.h.mayRetry(p.x, cause) {
+		return nil, streamBrokenRefusal(cause)
+	}
+	p.lastErr = cause
+	p.h.Metrics.Resumed.Add(1)
+	return p.send()
 }
 
 // isRetryableAnswer reports whether the endpoint answered with a failure after
@@ -114,20 +183,40 @@
 	return safe && x.attempts < max(x.route.MaxAttempts, 1) && x.takeRetry()
 }
 
-// sendPlain sends the request, reads the complete answer and records the
-// endpoint's success or failure. tried lists the endpoints that have failed it.
-func (h *Handler) sendPlain(x *exchange, m fleet.Member, tried []string) (*upstream.Answer, []byte, error) {
-	var limit headLimit
-	if x.route.Kind == routes.Repeatable && x.attempts+1 < x.route.MaxAttempts && x.route.Target > 0 {
-		limit = headLimit{time.Duration(headTimeoutShare * float64(x.route.Target)), h.silentPlain(x, append(slices.Clone(tried), m.ID))}
+// headLimit bounds the time to the head of the answer of m. A request that is not sent
+// again is waited for as long as its caller waits.
+func (p *plainRequest) headLimit(m fleet.Member) headLimit {
+	x := p.x
+	if !x.route.MayRepeat() || x.attempts+1 >= x.route.MaxAttempts {
+		return headLimit{}
 	}
-	sentAt := time.Now()
-	answer, err := h.send(x, m, ForwardOptions{}, limit, !x.route.MayRepeat())
+	silence := p.h.silentPlain(x, append(slices.Clone(p.tried), m.ID), x.attempts+1)
+	switch {
+	case x.route.Kind == routes.Stream:
+		return headLimit{stallTimeout, silence}
+	case x.route.Target > 0:
+		return headLimit{time.Duration(headTimeoutShare * float64(x.route.Target)), silence}
+	}
+	return headLimit{}
+}
+
+// sendTo sends the request to an endpoint. Unless the answer is a stream, it reads the
+// complete answer and records the endpoint's success or failure.
+func (p *plainRequest) sendTo(m fleet.Member, sentAt time.Time) (plainAnswer, error) {
+	h, x := p.h, p.x
+	var opts ForwardOptions
+	if x.route.Kind == routes.Stream {
+		opts.LastEventID = x.lastDelivered
+	}
+	answer, err := h.send(x, m, opts, p.headLimit(m), !x.route.MayRepeat())
 	if !notSent(err) && !misdirected(err) {
 		x.attempts++
 	}
 	if err != nil {
-		return nil, nil, err
+		return plainAnswer{}, err
+	}
+	if x.route.Kind == routes.Stream && isEventStream(answer) {
+		return plainAnswer{head: answer, stream: &stream{x: x, source: p, answer: answer, member: m, sentAt: sentAt}}, nil
 	}
 	defer answer.Close()
 	h.markRunning(x)
@@ -135,7 +224,7 @@
 	if err != nil {
 		h.confirmCrash(x, m, sentAt, time.Time{})
 		h.recordSendError(x, m, err)
-		return nil, nil, err
+		return plainAnswer{}, err
 	}
 	h.Guard.Completed(x.crashFeatures())
 	if answer.Status >= 500 {
@@ -145,7 +234,10 @@
 		h.Outliers.Succeeded(m, now)
 		h.Pace.AnsweredTypical(m.Service, m.ID, sentAt, now)
 	}
-	return answer, body, nil
+	if x.streaming {
+		return plainAnswer{}, errors.Wrapf(errNoEventStream, "status %d", answer.Status)
+	}
+	return plainAnswer{head: answer, body: body}, nil
 }
 
 // markRunning records that an endpoint has begun to run the request.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -175,7 +175,7 @@
 	if service.Engine != nil && x.call.Prompt != nil {
 		return h.generate(x, h.Models.For(x.service))
 	}
-	return h.servePlain(x)
+	return (&plainRequest{h: h, x: x}).serve()
 }
 
 // prepare decodes the request, finds its route, service and team, and sets its
@@ -195,6 +195,7 @@
 		return refusal.NotRun(400, refusal.CodeInvalidRequest, "the request cannot be read").WithCause(err)
 	}
 	x.call = call
+	x.lastDelivered = call.LastEventID
 	x.route, err = table.Match(call.Host, call.Path)
 	if err != nil {
 		return refusal.NotRun(404, refusal.CodeNotFound, "no route matches the request").WithCause(err)
--- a/pkg/relay/silence.go
+++ b/pkg/relay/silence.go
@@ -114,11 +114,12 @@
 	return !g.h.Outliers.Ejected(c.Engine, now) && g.expectedWait(c) <= g.timeLeft()
 }
 
-// silentPlain describes the silence of the last of the endpoints that were tried.
-func (h *Handler) silentPlain(x *exchange, tried []string) func(time.Time) retry.Silence {
+// silentPlain describes the silence of the last of the endpoints that were tried. sends
+// counts the sends that may have run the request, the one to it included.
+func (h *Handler) silentPlain(x *exchange, tried []string, sends int) func(time.Time) retry.Silence {
 	return func(now time.Time) retry.Silence {
 		return retry.Silence{
-			Repeatable: x.route.MayRepeat(), Sends: x.attempts + 1, MaxSends: x.route.MaxAttempts,
+			Repeatable: x.route.MayRepeat(), Sends: sends, MaxSends: x.route.MaxAttempts,
 			Alternative: placement.AnyHealthy(h.Fleet.Members(x.service), tried, h.health(), now),
 		}
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
+	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
@@ -24,19 +25,38 @@
 )
 
 // errNoEventStream reports an answer that cannot continue a stream.
-var errNoEventStream = errors.New("the engine did not continue the stream")
+var errNoEventStream = errors.New("the endpoint did not continue the stream")
 
 // eventEnd separates events (HTML standard, server-sent events).
 var eventEnd = []byte("\n\n")
 
-// stream is the streamed answer of one engine, read in complete events.
+// streamSource sends a request whose answer is a stream, to one endpoint after the other
+// as streams break off. Its methods are called by one goroutine at a time.
+type streamSource interface {
+	// silence describes the silence of the stream's endpoint, to decide whether to give it
+	// up; nil if the request may not be sent again.
+	silence(s *stream) func(now time.Time) retry.Silence
+	// progressed is called when complete events have arrived.
+	progressed(s *stream)
+	// ended is called once for each stream, when its exchange has ended.
+	ended(s *stream, outcome placement.Outcome)
+	// resume continues a stream that has broken off at another endpoint, after its last
+	// complete event, or returns the refusal that ends the request. Before the first event
+	// another endpoint may instead answer the request completely; both results are nil
+	// then.
+	resume(s *stream, cause error) (*stream, *refusal.Refusal)
+}
+
+// stream is the streamed answer of one endpoint, read in complete events.
 type stream struct {
-	g        *generation
-	answer   *upstream.Answer
-	member   fleet.Member
+	x      *exchange
+	source streamSource
+	answer *upstream.Answer
+	member fleet.Member
+	sentAt time.Time
+	// inFlight is the send to an engine. expected is the expected time to its first
+	// event; zero if it is not known.
 	inFlight *placement.InFlightSend
-	sentAt   time.Time
-	// expected is the expected time to the first event; zero if it is not known.
 	expected time.Duration
 	// firstEventAt is when the first complete event arrived, eventAt when the last one
 	// did.
@@ -54,12 +74,11 @@
 
 // next returns the complete events that have arrived, and io.EOF after the last
 // one of a complete answer. Events and an error may be returned together. The
-// engine of a stream that may be resumed counts as silent after stallTimeout without a
+// endpoint of a stream that may be resumed counts as silent after stallTimeout without a
 // complete event: single bytes are no progress.
 func (s *stream) next() ([]byte, error) {
-	if s.g.mayResume() {
-		onSilence := s.g.x.onSilence(s.member, s.g.silentDecode(s.member, s.g.x.attempts))
-		if err := s.answer.SetReadDeadline(time.Now().Add(stallTimeout), onSilence); err != nil {
+	if silence := s.source.silence(s); silence != nil {
+		if err := s.answer.SetReadDeadline(time.Now().Add(stallTimeout), s.x.onSilence(s.member, silence)); err != nil {
 			return nil, errors.Wrap(upstream.ErrIncomplete, err.Error())
 		}
 	}
@@ -115,11 +134,8 @@
 	s.events += bytes.Count(events, eventEnd)
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt, s.firstEvents = s.eventAt, s.events
-		if s.expected > 0 {
-			s.g.h.Pace.Answered(s.member.ID, s.sentAt, s.expected, s.eventAt)
-		}
 	}
-	s.g.progressAt = s.eventAt
+	s.source.progressed(s)
 	s.updateLastEventID(events)
 	return events
 }
@@ -133,7 +149,7 @@
 	}
 }
 
-// close ends the exchange with the engine and records its outcome. It cancels a run
+// close ends the exchange with the endpoint and records its outcome. It cancels a run
 // that is not complete.
 func (s *stream) close(outcome placement.Outcome) {
 	if s.closed {
@@ -141,102 +157,99 @@
 	}
 	s.closed = true
 	s.answer.Close()
-	now := time.Now()
-	if outcome == placement.Completed {
-		sample, ok := s.g.model.ObserveDecode(s.inFlight, s.g.job.OutputLimit, s.events-s.firstEvents, s.eventAt.Sub(s.firstEventAt), now)
-		if ok {
-			s.g.h.OnDecoded(s.g.x.service, sample)
-		}
+	s.source.ended(s, outcome)
+}
+
+// breakOff ends a stream that has broken off and records the failure of its endpoint. It
+// returns the refusal of a request that has been cancelled.
+func (s *stream) breakOff(cause error) *refusal.Refusal {
+	s.close(placement.Failed)
+	s.x.handler.confirmCrash(s.x, s.member, s.sentAt, s.firstEventAt)
+	s.x.handler.recordSendError(s.x, s.member, cause)
+	if s.lastEventID != "" {
+		s.x.lastDelivered = s.lastEventID
+	}
+	return s.x.cancellationRefusal()
+}
+
+// resume continues the stream at another endpoint, see streamSource.
+func (s *stream) resume(cause error) (*stream, *refusal.Refusal) {
+	if r := s.breakOff(cause); r != nil {
+		return nil, r
 	}
-	s.g.model.EndSend(s.inFlight, outcome, now)
+	return s.source.resume(s, cause)
 }
 
 // forwardStream passes the stream on to the caller. The head is sent only with the
 // first events, so that a run that breaks off before them can be retried elsewhere.
-func (g *generation) forwardStream(s *stream) *refusal.Refusal {
-	for {
+func (x *exchange) forwardStream(s *stream) *refusal.Refusal {
+	for s != nil {
 		if s.answer.Status >= 300 {
-			return g.respondFailed(s)
+			return x.respondFailed(s)
 		}
 		events, err := s.next()
 		if len(events) > 0 {
-			g.startStreaming(s, events, err)
+			x.startStreaming(s, events, err)
 			return nil
 		}
 		if errors.Is(err, io.EOF) {
-			g.respondEmpty(s)
+			x.respondEmpty(s)
 			return nil
 		}
-		g.h.markRunning(g.x)
-		next, r := g.resume(s, err)
+		x.handler.markRunning(x)
+		next, r := s.resume(err)
 		if r != nil {
 			return r
 		}
 		s = next
 	}
+	return nil
 }
 
-// respondFailed passes on an engine's answer with a status of 300 or more.
-func (g *generation) respondFailed(s *stream) *refusal.Refusal {
+// respondFailed passes on an endpoint's answer with a status of 300 or more.
+func (x *exchange) respondFailed(s *stream) *refusal.Refusal {
 	body, err := s.answer.ReadAll(maxAnswerBytes)
-	g.h.markRunning(g.x)
+	x.handler.markRunning(x)
 	if s.answer.Status >= 500 {
-		g.h.recordBadAnswer(s.member, s.answer)
+		x.handler.recordBadAnswer(s.member, s.answer)
 	}
 	s.close(placement.Failed)
 	if err != nil {
-		return refusal.Unknown(502, refusal.CodeEndpointFailed, "the engine's answer is incomplete").WithCause(err)
+		return refusal.Unknown(502, refusal.CodeEndpointFailed, "the endpoint's answer is incomplete").WithCause(err)
 	}
-	g.x.respond(s.answer, body)
+	x.respond(s.answer, body)
 	return nil
 }
 
 // respondEmpty passes on a complete stream that has no events.
-func (g *generation) respondEmpty(s *stream) {
-	g.h.markRunning(g.x)
+func (x *exchange) respondEmpty(s *stream) {
+	x.handler.markRunning(x)
 	s.close(placement.Completed)
-	g.x.respond(s.answer, nil)
-}
-
-// mayResume reports whether the request may be sent again after this send.
-func (g *generation) mayResume() bool {
-	return g.x.route.MayRepeat() && g.x.attempts < g.x.route.MaxAttempts
+	x.respond(s.answer, nil)
 }
 
 // startStreaming sets the head and a body from which the server reads the stream.
 // err is the error that came with the events.
-func (g *generation) startStreaming(s *stream, events []byte, err error) {
-	g.h.markRunning(g.x)
-	x := g.x
+func (x *exchange) startStreaming(s *stream, events []byte, err error) {
+	x.handler.markRunning(x)
 	x.firstByte = time.Now()
 	x.status = s.answer.Status
 	x.logFields["first_event_ms"] = x.firstByte.Sub(s.sentAt).Milliseconds()
-	g.h.Metrics.FirstEvent.Record(x.firstByte.Sub(s.sentAt))
+	x.handler.Metrics.FirstEvent.Record(x.firstByte.Sub(s.sentAt))
 	x.setResponseHead(s.answer)
 	x.streaming = true
 	x.ctx.Response.ImmediateHeaderFlush = true
-	x.ctx.SetBodyStream(&body{g: g, s: s, events: events, err: err}, -1)
+	x.ctx.SetBodyStream(&body{x: x, s: s, events: events, err: err}, -1)
 }
 
-// resume continues a broken stream at another engine, or returns the refusal
-// that ends the request.
-func (g *generation) resume(s *stream, cause error) (*stream, *refusal.Refusal) {
-	s.close(placement.Failed)
-	g.h.confirmCrash(g.x, s.member, s.sentAt, s.firstEventAt)
-	g.h.recordSendError(g.x, s.member, cause)
-	if r := g.x.cancellationRefusal(); r != nil {
-		return nil, r
-	}
-	if s.lastEventID != "" {
-		g.lastDelivered = s.lastEventID
-	}
-	g.job.Exclude = append(g.job.Exclude, s.member.ID)
-	g.avoidSilent(s.member)
-	if !g.mayRetryRun(cause) {
-		return nil, refusal.Unknown(502, refusal.CodeEndpointFailed, "the stream broke off").WithCause(cause)
-	}
-	g.h.Metrics.Resumed.Add(1)
-	return g.open()
+// streamBrokenRefusal is the refusal of a request whose stream is not resumed.
+func streamBrokenRefusal(cause error) *refusal.Refusal {
+	return refusal.Unknown(502, refusal.CodeEndpointFailed, "the stream broke off").WithCause(cause)
+}
+
+// mayResume reports whether the request may be sent again after its current send.
+func (x *exchange) mayResume() bool {
+	return x.route.MayRepeat() && x.attempts < x.route.MaxAttempts
 }
 
 // isEventStream reports whether an answer may continue a stream of events.
@@ -245,11 +258,11 @@
 	return err == nil && answer.Status == 200 && mediaType == "text/event-stream"
 }
 
-// body is the body of a streamed answer, resumed at other engines if it breaks
+// body is the body of a streamed answer, resumed at other endpoints if it breaks
 // off. After a read error the server closes the connection without an end of the
 // body, so that the caller sees that the answer is incomplete.
 type body struct {
-	g      *generation
+	x      *exchange
 	s      *stream
 	events []byte
 	err    error
@@ -263,10 +276,10 @@
 				b.complete()
 				return 0, io.EOF
 			}
-			next, r := b.g.resume(b.s, b.err)
+			next, r := b.s.resume(b.err)
 			if r != nil {
-				b.g.x.outcome = "broken"
-				b.g.x.logFields["cause"] = r.Error()
+				b.x.outcome = "broken"
+				b.x.logFields["cause"] = r.Error()
 				return 0, r
 			}
 			b.s, b.err = next, nil
@@ -283,23 +296,23 @@
 }
 
 func (b *body) complete() {
-	b.g.h.Outliers.Succeeded(b.s.member, time.Now())
-	b.g.h.Guard.Completed(b.g.x.crashFeatures())
+	b.x.handler.Outliers.Succeeded(b.s.member, time.Now())
+	b.x.handler.Guard.Completed(b.x.crashFeatures())
 	b.s.close(placement.Completed)
 }
 
 // Close implements io.Closer; the server calls it once the answer is written or
 // has failed.
 func (b *body) Close() error {
-	if !b.s.closed && b.g.x.outcome == "served" {
-		b.g.x.outcome = "caller_gone"
-		if !b.g.x.attempt.silenceRecorded && time.Since(b.s.eventAt) >= stallTimeout {
+	if !b.s.closed && b.x.outcome == "served" {
+		b.x.outcome = "caller_gone"
+		if !b.x.attempt.silenceRecorded && time.Since(b.s.eventAt) >= stallTimeout {
 			// A stream that may not be sent again has no stall timeout, and its caller
-			// disconnects first. Without this a hung engine would never be ejected.
-			b.g.h.recordFailure(b.s.member, outlier.TimedOut, errors.New("the stream stalled until its caller left"))
+			// disconnects first. Without this a hung endpoint would never be ejected.
+			b.x.handler.recordFailure(b.s.member, outlier.TimedOut, errors.New("the stream stalled until its caller left"))
 		}
 	}
 	b.s.close(placement.Failed)
-	b.g.x.finish()
+	b.x.finish()
 	return nil
 }
