upstream, gate: reset a request before the kernel gives up its connection

Cause: the kernel gave up the connection first, by keep-alive probes 3.0 s after the cut began or by TCP_USER_TIMEOUT 2.5 s after the request. It sends no reset then, and the connection cannot be reset any more.

Evidence: traces of each given-up connection; in five of five failures the read ended with ETIMEDOUT 3.000 s after the cut began, with an empty send queue.

Change: a request of which the peer acknowledges nothing for 2 s is given up with a reset (ackWatch). In the gate calls that are given up are reset, not closed in order; it writes and reads the exchange itself, since the client that it used closed in order.

Why it works: the connection is alive when it is reset, whatever it did before.

--- a/pkg/connstate/connstate.go
+++ b/pkg/connstate/connstate.go
@@ -26,14 +26,7 @@
 // its sending side counts as closed, as in other HTTP servers. A connection
 // without a socket counts as idle.
 func Of(conn net.Conn) State {
-	for {
-		inner, ok := conn.(netConner)
-		if !ok {
-			break
-		}
-		conn = inner.NetConn()
-	}
-	sc, ok := conn.(syscall.Conn)
+	sc, ok := socket(conn).(syscall.Conn)
 	if !ok {
 		return Idle
 	}
--- a/pkg/engineclient/conn.go
+++ b/pkg/engineclient/conn.go
@@ -73,11 +73,7 @@
 // abort resets the connection. Bytes that wait in the send buffer, such as during a
 // network partition, are dropped instead of sent once the engine can be reached again.
 func (pc *pooledConn) abort() {
-	if tcp, ok := pc.raw.Conn.(*net.TCPConn); ok {
-		// If it fails, Close still closes the connection in order.
-		_ = tcp.SetLinger(0)
-	}
-	_ = pc.raw.Close()
+	_ = connstate.Reset(pc.raw)
 }
 
 // stale reports whether the engine has closed the connection or sent bytes that belong
--- a/pkg/gate/answer_test.go
+++ b/pkg/gate/answer_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // postBroken sends a request whose answer must be cut, so that its framing shows that it
@@ -87,3 +91,44 @@
 		}
 	}
 }
+
+// TestGivenUpCallIsReset guards against a call that reaches its service after its caller
+// was told that it failed. A service that does not read stands in for a network that
+// delivers nothing.
+func TestGivenUpCallIsReset(t *testing.T) {
+	for name, giveUp := range map[string]func(context.Context) (context.Context, context.CancelFunc){
+		"deadline": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 100*time.Millisecond)
+		},
+		"caller gone": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(100*time.Millisecond, cancel)
+			return ctx, cancel
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			defer func() { _ = l.Close() }()
+			proceed, read := make(chan struct{}), make(chan error, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				<-proceed
+				_, err = io.Copy(io.Discard, c)
+				read <- err
+			}()
+			ctx, cancel := giveUp(t.Context())
+			defer cancel()
+			if _, err := NewServiceClient(nil).Call(ctx, l.Addr().String(), &ServiceRequest{Method: "POST", URI: "/", Body: make([]byte, 64<<10)}); err == nil {
+				t.Error("the call was answered")
+			}
+			close(proceed)
+			if err := <-read; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the service read to the end with %v, want a reset", err)
+			}
+		})
+	}
+}
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/connstate"
 	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/membudget"
@@ -82,29 +84,37 @@
 	return answer, steperr.Wrap(err, "call service", address)
 }
 
-func (c *ServiceClient) call(ctx context.Context, address string, request *ServiceRequest) (ServiceAnswer, error) {
+func (c *ServiceClient) call(ctx context.Context, address string, request *ServiceRequest) (answer ServiceAnswer, err error) {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	conn, err := descriptors.Retry(c.freeDescriptor, func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
 	if err != nil {
 		return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 	}
+	stream := conn
+	// A call that is given up must not reach the service later.
+	reset := func() { _ = connstate.Reset(conn) }
+	defer func() {
+		if err != nil {
+			reset()
+			return
+		}
+		_ = stream.Close()
+	}()
 	if c.tlsConfig != nil {
 		tlsConn := tls.Client(conn, c.tlsConfig())
 		if err := tlsConn.HandshakeContext(ctx); err != nil {
-			_ = conn.Close()
 			return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 		}
-		conn = tlsConn
+		stream = tlsConn
 	}
-	defer func() { _ = conn.Close() }()
 	charge := c.answers.Begin()
 	defer charge.Release()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, reset)
 	defer stop()
 	if err := ctx.Err(); err != nil {
 		return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 	}
-	return exchange(ctx, &chargedConn{Conn: conn, answer: charge, done: ctx.Done()}, address, request)
+	return exchange(ctx, &chargedConn{Conn: stream, answer: charge, done: ctx.Done()}, address, request)
 }
 
 func exchange(ctx context.Context, conn net.Conn, address string, request *ServiceRequest) (ServiceAnswer, error) {
@@ -115,15 +125,6 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 	}
-	client := &fasthttp.HostClient{
-		Addr:                      address,
-		Dial:                      func(string) (net.Conn, error) { return conn, nil },
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                jsonhttp.NeverRetry,
-		NoDefaultUserAgentHeader:  true,
-		MaxResponseBodySize:       serviceMaxAnswerBytes,
-	}
-	defer client.CloseIdleConnections()
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -131,14 +132,20 @@
 	req.Header.SetMethod(request.Method)
 	req.SetRequestURI(request.URI)
 	req.Header.SetHost(address)
+	// The service gets the normalized path, by which the route was found.
+	req.SetRequestURIBytes(req.URI().RequestURI())
 	req.SetConnectionClose()
 	setNonEmpty(req, HeaderRequestID, request.RequestID)
 	setNonEmpty(req, HeaderTeam, request.Team)
 	setNonEmpty(req, HeaderIdempotencyKey, request.IdempotencyKey)
 	setNonEmpty(req, fasthttp.HeaderContentType, request.ContentType)
 	req.SetBodyRaw(request.Body)
-	if err := client.DoDeadline(req, resp, deadline); err != nil {
-		return ServiceAnswer{}, errors.Wrap(err, "exchange")
+	if err := writeRequest(conn, req); err != nil {
+		return ServiceAnswer{}, errors.Wrap(err, "write request")
+	}
+	resp.SkipBody = request.Method == fasthttp.MethodHead
+	if err := resp.ReadLimitBody(bufio.NewReader(conn), serviceMaxAnswerBytes); err != nil {
+		return ServiceAnswer{}, errors.Wrap(err, "read answer")
 	}
 	if brokenEventStream(&resp.Header, resp.Body()) {
 		return ServiceAnswer{}, errors.New("the stream of events ended inside an event")
@@ -152,6 +159,17 @@
 	}, nil
 }
 
+// writeRequest sends a request completely. After an error no answer may be read: once a
+// write has reported a reset, reads no longer do, and what has come of an answer that ends
+// with its connection looks complete.
+func writeRequest(conn net.Conn, req *fasthttp.Request) error {
+	w := bufio.NewWriter(conn)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // brokenEventStream reports whether a body is a stream of server-sent events that does not
 // end with an empty line: the service failed inside an event, and the framing of the
 // answer need not show it.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -51,11 +51,13 @@
 type Client struct {
 	pool   pool
 	bodies *membudget.Answers
+	// ackTimeout is ackTimeout except in tests.
+	ackTimeout time.Duration
 }
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	return &Client{bodies: membudget.NewAnswers(opts.Memory), pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
+	return &Client{ackTimeout: ackTimeout, bodies: membudget.NewAnswers(opts.Memory), pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
@@ -143,9 +145,20 @@
 // end of the request's context aborts the connection. Its deadline is not set on
 // the connection, because it may be the time of another clock than the system's.
 func (c *Client) exchange(cn *conn, req *Request) (*Answer, error) {
-	if err := req.writeTo(cn.Conn); err != nil {
+	acks := watchAcks(cn, c.ackTimeout)
+	answer, err := c.sendAndAwait(cn, req, acks)
+	if acks.stop() {
+		return nil, errUnacknowledged
+	}
+	return answer, err
+}
+
+// sendAndAwait is exchange without the check of what the peer has acknowledged.
+func (c *Client) sendAndAwait(cn *conn, req *Request, acks *ackWatch) (*Answer, error) {
+	if err := req.writeTo(cn); err != nil {
 		return nil, errors.Wrap(err, "write request")
 	}
+	acks.requestSent()
 	if req.HeadTimeout > 0 {
 		cn.onSilence = req.OnSilence
 		if err := cn.SetReadDeadline(time.Now().Add(req.HeadTimeout)); err != nil {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -18,13 +18,12 @@
 )
 
 const (
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead peer while
-	// nothing is sent to it. One second is the least that the kernel accepts.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	// probeMargin is the least time between the latest reset of a request that is not
+	// acknowledged and the end of the connection by keep-alive probes.
+	probeMargin = time.Second
+	probeCount  = 2
 	// unackedTimeout ends a connection whose bytes the peer does not acknowledge.
-	// It exceeds two retransmissions on a link that loses packets.
+	// It exceeds two retransmissions on a link that loses packets, and ackTimeout.
 	unackedTimeout = 2500 * time.Millisecond
 	// readBufferBytes is enough for the head of an answer and a few events.
 	readBufferBytes = 4096
@@ -50,6 +49,8 @@
 	idleTimeout time.Duration
 	// maxIdle bounds the idle connections to the address, zero if only the pool does.
 	maxIdle int
+	// written counts the bytes that the kernel has taken.
+	written atomic.Int64
 	// onSilence is nil or called when the read deadline has passed, see Read.
 	onSilence func() time.Duration
 	// open counts the open connections, among them this one until closed is set.
@@ -57,6 +58,9 @@
 	closed atomic.Bool
 }
 
+// NetConn returns the connection to the peer, for connstate.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements io.Reader. When the read deadline has passed, it asks onSilence how
 // much longer to wait, and fails if that is zero. The readers of heads and bodies
 // cannot go on after an error, so it must not reach them before the peer is given up.
@@ -77,11 +81,14 @@
 	}
 }
 
-// dialer returns a dialer whose connections detect a dead peer.
-func dialer(timeout time.Duration) *net.Dialer {
+// dialer returns a dialer whose connections detect a dead peer. The kernel ends none that
+// carries a request which is not acknowledged: a connection is idle for idleTimeout at most
+// when it is used again, and the request is then given up after ackTimeout.
+func dialer(timeout, idleTimeout time.Duration) *net.Dialer {
+	probe := idleTimeout + ackTimeout + probeMargin
 	return &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			controlErr := raw.Control(func(fd uintptr) {
@@ -99,11 +106,7 @@
 // such as during a network partition, are dropped instead of sent once the peer
 // can be reached again.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// If it fails, Close still closes the connection in order.
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
+	_ = connstate.Reset(c)
 }
 
 // stale reports whether the peer has closed the connection or sent bytes that
@@ -145,7 +148,7 @@
 	p.mu.Unlock()
 	p.makeRoom()
 	nc, err := descriptors.Retry(p.closeLongestIdle, func() (net.Conn, error) {
-		return dialer(p.dialTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
+		return dialer(p.dialTimeout, p.idleTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/upstream/doc.go
+++ b/pkg/upstream/doc.go
@@ -9,5 +9,7 @@
 //
 // A peer that has lost power does not even reset its connections. Dialing
 // therefore has its own short limit, and TCP keep-alive probes and a limit on
-// unacknowledged bytes end connections to such a peer.
+// unacknowledged bytes end connections to such a peer. A request that the peer does not
+// acknowledge is given up with a reset before the kernel gives up the connection, so that
+// the network does not deliver it later.
 package upstream
--- a/pkg/upstream/message.go
+++ b/pkg/upstream/message.go
@@ -96,14 +96,30 @@
 // same packet. Larger ones are sent from their own buffer.
 const maxJoinedBody = 4 << 10
 
+// maxWriteBytes bounds the part of a body that is handed to the kernel at once, so that
+// the progress of a long upload can be seen.
+const maxWriteBytes = 64 << 10
+
 // writeTo sends the request.
-func (r *Request) writeTo(nc net.Conn) error {
+func (r *Request) writeTo(cn *conn) error {
 	message := net.Buffers{r.encode()}
-	if len(r.Body) > maxJoinedBody {
-		message = append(message, r.Body)
+	body := r.Body
+	if len(body) <= maxJoinedBody {
+		body = nil
+	}
+	for {
+		piece := body[:min(len(body), maxWriteBytes)]
+		body = body[len(piece):]
+		if len(piece) > 0 {
+			message = append(message, piece)
+		}
+		n, err := message.WriteTo(cn.Conn)
+		cn.written.Add(n)
+		if err != nil || len(body) == 0 {
+			return err
+		}
+		message = message[:0]
 	}
-	_, err := message.WriteTo(nc)
-	return err
 }
 
 // encode returns the request as it is sent, without a body that is larger than
