httphead: an answer with a status below 100 is none

Cause: fasthttp returns 200 for a status of 0. All readers of heads relied on it.

Since engineclient now always attaches a reader of the body, an engine's 204 or 304 no longer ends the process of serve with a panic.

--- a/pkg/engineclient/answers_test.go
+++ b/pkg/engineclient/answers_test.go
@@ -254,3 +254,45 @@
 		})
 	}
 }
+
+// generateOnce opens a stream at an engine that answers with the head and one last event,
+// and returns the first error.
+func generateOnce(t *testing.T, statusLine string) error {
+	t.Helper()
+	address := startEngine(t, func(c net.Conn, _ int, id string) bool {
+		event := fmt.Sprintf("data: {\"request_id\":%q,\"done\":true}\n\n", id)
+		_, _ = fmt.Fprintf(c, "%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, len(event), event)
+		return false
+	})
+	s, err := newClient(t).Generate(t.Context(), address, enginewire.GenerateRequest{RequestID: "r-1"}, nil)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	_, err = s.Next()
+	return err
+}
+
+// TestStatus000IsNoStream guards against a stream with the status 000, which fasthttp takes
+// for 200, or another one below 100.
+func TestStatus000IsNoStream(t *testing.T) {
+	if err := generateOnce(t, "HTTP/1.1 200 OK"); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{"HTTP/1.1 000 Unknown", "HTTP/1.1 099 Unknown"} {
+		var broken *BrokenError
+		if err := generateOnce(t, line); !errors.As(err, &broken) {
+			t.Errorf("%s: got %v, want a broken answer", line, err)
+		}
+	}
+}
+
+// TestAnswerWithoutBodyEndsNoProcess guards against a status without a body, for which the
+// client had no reader: it panicked.
+func TestAnswerWithoutBodyEndsNoProcess(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified"} {
+		if err := generateOnce(t, line); err == nil {
+			t.Errorf("%s: was taken for a stream", line)
+		}
+	}
+}
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
+	"github.com/clementineshed/clementineshed/pkg/httphead"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retryafter"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
@@ -192,7 +193,11 @@
 
 	s.resp = fasthttp.AcquireResponse()
 	s.resp.StreamBody = true
-	if err := s.resp.Read(pc.r); err != nil {
+	if err := httphead.ReadFinal(pc.r, &s.resp.Header); err != nil {
+		return nil, s.broken(err)
+	}
+	// It only attaches the body's reader.
+	if err := s.resp.ReadBody(pc.r, 0); err != nil {
 		return nil, s.broken(err)
 	}
 	if status := s.resp.StatusCode(); status != fasthttp.StatusOK {
--- a/pkg/gate/answer_test.go
+++ b/pkg/gate/answer_test.go
@@ -132,3 +132,24 @@
 		})
 	}
 }
+
+// TestStatus000IsNoAnswer guards against an answer of a service with a status below 100
+// that reaches the caller: 000 as 200, another one as it is.
+func TestStatus000IsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "007"} {
+		l := listen(t)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 5\r\n\r\nhello")
+		}()
+		if answer, err := NewServiceClient(nil).Call(t.Context(), l.Addr().String(), &ServiceRequest{Method: "GET", URI: "/"}); err == nil {
+			t.Errorf("%s was taken as %d %q", status, answer.Status, answer.Body)
+		}
+		_ = l.Close()
+	}
+}
--- a/pkg/jsonhttp/reuse_test.go
+++ b/pkg/jsonhttp/reuse_test.go
@@ -111,3 +111,18 @@
 		}
 	}
 }
+
+// TestStatus000IsNoAnswer guards against an answer with the status 000, which fasthttp
+// takes for 200, and that counts as a success.
+func TestStatus000IsNoAnswer(t *testing.T) {
+	address := startPeer(t, func(c net.Conn, _ int) bool {
+		for _, piece := range []string{"HTTP/1.1", " 0", "00 Unknown\r\nContent-Length: 2\r\n\r\n{}"} {
+			_, _ = io.WriteString(c, piece)
+			time.Sleep(5 * time.Millisecond)
+		}
+		return true
+	})
+	if err := New(address, Options{}).Do(t.Context(), http.MethodPost, "/", nil, nil); err == nil {
+		t.Error("the answer counts as a success")
+	}
+}
--- a/pkg/upstream/bounds.go
+++ b/pkg/upstream/bounds.go
@@ -14,8 +14,6 @@
 // the answer counts as broken. The head of an answer, a line of a chunk and a line of
 // the trailer are bounded by readBufferBytes.
 const (
-	// maxInterimAnswers bounds the interim (1xx) answers before the final one.
-	maxInterimAnswers = 8
 	// maxStrayAnswers and maxStrayBytes bound the answers to earlier requests that
 	// are skipped before the awaited one, and the body of each.
 	maxStrayAnswers = 2
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/clementineshed/clementineshed/pkg/httphead"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
@@ -202,19 +203,11 @@
 func readHead(cn *conn, method string) (*Answer, error) {
 	var head fasthttp.ResponseHeader
 	head.SetNoDefaultContentType(true)
-	for interim := 0; ; interim++ {
-		if interim > maxInterimAnswers {
-			return nil, errors.Wrapf(ErrIncomplete, "more than %d interim answers", maxInterimAnswers)
-		}
-		if err := head.Read(cn.r); err != nil {
-			if isTimeout(err) {
-				return nil, errors.Wrap(ErrAnswerTimeout, err.Error())
-			}
-			return nil, errors.Wrap(err, "read head")
-		}
-		if head.StatusCode() >= 200 {
-			break
+	if err := httphead.ReadFinal(cn.r, &head); err != nil {
+		if isTimeout(err) {
+			return nil, errors.Wrap(ErrAnswerTimeout, err.Error())
 		}
+		return nil, errors.Wrap(err, "read head")
 	}
 	a := &Answer{Status: head.StatusCode(), conn: cn, framed: true}
 	for name, value := range head.All() {
