jsonhttp, engineclient, gate: bound the bytes that an endless answer may send

In the product's own path an endless load report of an engine was kept until its time limit, which ended the process; other endless answers occupied their request, or the memory budget, until the deadline.

Cause: limits stood on the body or a line of it, not on the bytes read for them.

Change: jsonhttp bounds bodies (32 MiB, engines 8 MiB, crash probe 64 KiB); engineclient reads 256 KiB from one event to the next at most, the gate 16 MiB for an answer.

--- a/pkg/endpoint/poll/poller.go
+++ b/pkg/endpoint/poll/poller.go
@@ -34,6 +34,10 @@
 // traffic.
 const loadsPerCacheEventsRead = 4
 
+// maxEngineAnswer bounds what one read of an engine may return, in bytes. A faulty engine
+// may send without end.
+const maxEngineAnswer = 8 << 20
+
 // Lister reads the platform's endpoint list. *endpointapi.EndpointInterface
 // implements it.
 type Lister interface {
@@ -178,7 +182,7 @@
 
 func (p *Poller) engineLoop(ctx context.Context, key engineKey) {
 	defer p.workers.Done()
-	e := &engine{id: key.id, http: jsonhttp.New(key.address, jsonhttp.Options{Timeout: p.opts.Timeout, TLS: p.opts.TLS})}
+	e := &engine{id: key.id, http: jsonhttp.New(key.address, jsonhttp.Options{Timeout: p.opts.Timeout, TLS: p.opts.TLS, MaxBody: maxEngineAnswer})}
 	defer e.http.CloseIdle()
 	for n := 0; ; n++ {
 		err := p.readLoad(ctx, e)
--- a/pkg/engineclient/client.go
+++ b/pkg/engineclient/client.go
@@ -34,8 +34,13 @@
 	DefaultMaxIdle     = 64
 )
 
-// maxEventBytes bounds one line of a stream.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes bounds one line of a stream.
+	maxEventBytes = 64 << 10
+	// maxBytesPerEvent bounds what is read from one event to the next: other lines, the
+	// framing, and what is read ahead.
+	maxBytesPerEvent = 4 * maxEventBytes
+)
 
 // RefusedError reports that the engine refused the request before running it.
 type RefusedError struct {
@@ -177,6 +182,7 @@
 func (c *Client) open(ctx context.Context, pc *pooledConn, address, requestID string, body []byte) (*Stream, error) {
 	s := &Stream{client: c, address: address, requestID: requestID, pooled: pc}
 	s.stopCloseOnCancel = context.AfterFunc(ctx, pc.abort)
+	pc.raw.mayRead = maxBytesPerEvent
 
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -256,6 +262,7 @@
 		if event.RequestID != s.requestID {
 			return enginewire.Event{}, s.broken(errors.Errorf("event of another request %q", event.RequestID))
 		}
+		s.pooled.raw.mayRead = maxBytesPerEvent
 		if event.Done {
 			s.drain()
 		}
--- a/pkg/engineclient/conn.go
+++ b/pkg/engineclient/conn.go
@@ -25,12 +25,26 @@
 	// longer to wait; zero fails the read. The readers of the answer and of TLS cannot
 	// go on after an error, so it must not reach them before the engine is given up.
 	onSilence func() time.Duration
+	// mayRead is how many bytes may be read before the next event of a stream.
+	mayRead int
 	// open counts the open connections, among them this one until closed is set.
 	open   *atomic.Int64
 	closed atomic.Bool
 }
 
+// errEndless reports an engine that sends bytes without an event.
+var errEndless = errors.New("the engine sends bytes without an event")
+
 func (c *progressTimeoutConn) Read(p []byte) (int, error) {
+	if c.mayRead <= 0 {
+		return 0, errEndless
+	}
+	n, err := c.readOrWait(p)
+	c.mayRead -= n
+	return n, err
+}
+
+func (c *progressTimeoutConn) readOrWait(p []byte) (int, error) {
 	wait := c.timeout
 	for {
 		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
@@ -112,7 +126,7 @@
 		return nil, err
 	}
 	p.open.Add(1)
-	raw := &progressTimeoutConn{Conn: conn, timeout: p.progressTimeout, open: &p.open}
+	raw := &progressTimeoutConn{Conn: conn, timeout: p.progressTimeout, mayRead: maxBytesPerEvent, open: &p.open}
 	var c net.Conn = raw
 	if p.tls != nil {
 		c = tls.Client(c, p.tls())
--- a/pkg/entryhost/crashes.go
+++ b/pkg/entryhost/crashes.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
@@ -24,6 +25,8 @@
 	// probeTimeout bounds the probe for a crashed engine. A connection to a
 	// crashed process is reset at once.
 	probeTimeout = 500 * time.Millisecond
+	// maxLoadReport bounds the answer to the probe in bytes.
+	maxLoadReport = 64 << 10
 	// suspectedRetryAfter is the Retry-After of a suspected request that is
 	// already running; the running attempt is expected to have ended by then.
 	suspectedRetryAfter = 2 * time.Second
@@ -123,18 +126,21 @@
 
 // probeCrashed queries the engine to find out whether the instance that ran the
 // request has crashed. A leaving engine may end without a crash, and one that
-// times out may merely be unreachable.
+// times out may merely be unreachable; one that sends without end is running.
 func (c *crashGuard) probeCrashed(ctx context.Context, e endpoint.Endpoint) bool {
 	status, ok := c.table.Snapshot().Get(e.ID)
 	if !ok || status.State == endpoint.StateLeaving {
 		return false
 	}
-	client := jsonhttp.New(e.Address, jsonhttp.Options{Timeout: probeTimeout, TLS: c.tls, FreshConnections: true})
+	client := jsonhttp.New(e.Address, jsonhttp.Options{Timeout: probeTimeout, TLS: c.tls, FreshConnections: true, MaxBody: maxLoadReport})
 	var load endpoint.Load
 	err := client.Do(ctx, http.MethodGet, enginewire.PathLoad, nil, &load)
 	if err == nil {
 		return load.Instance != e.Instance
 	}
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return false
+	}
 	var timeout interface{ Timeout() bool }
 	return !errors.As(err, &timeout) || !timeout.Timeout()
 }
--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -58,12 +58,20 @@
 	net.Conn
 	answer *membudget.Answer
 	done   <-chan struct{}
+	// mayRead is how many bytes may still be read.
+	mayRead int
 }
 
+// errEndless reports an answer with more framing than body.
+var errEndless = errors.New("the answer has more bytes than the largest body and as many of framing")
+
 // Read implements net.Conn.
 func (c *chargedConn) Read(p []byte) (int, error) {
+	if c.mayRead <= 0 {
+		return 0, errEndless
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
+	if c.mayRead -= n; n > 0 {
 		if takeErr := c.answer.Take(2*n, c.done); takeErr != nil {
 			return 0, takeErr
 		}
@@ -115,7 +123,7 @@
 	if err := ctx.Err(); err != nil {
 		return ServiceAnswer{}, &jsonhttp.NotSentError{Err: err}
 	}
-	return exchange(ctx, &chargedConn{Conn: stream, answer: charge, done: ctx.Done()}, address, request)
+	return exchange(ctx, &chargedConn{Conn: stream, answer: charge, done: ctx.Done(), mayRead: 2 * serviceMaxAnswerBytes}, address, request)
 }
 
 func exchange(ctx context.Context, conn net.Conn, address string, request *ServiceRequest) (ServiceAnswer, error) {
--- a/pkg/jsonhttp/client.go
+++ b/pkg/jsonhttp/client.go
@@ -22,6 +22,10 @@
 // the last byte of the response.
 const DefaultTimeout = 2 * time.Second
 
+// DefaultMaxBody is the default bound of a response's body, in bytes. It exceeds the largest
+// page of a log or document that is read with one request.
+const DefaultMaxBody = 32 << 20
+
 // NotSentError reports that the request was not sent, so that the peer cannot
 // have seen it.
 type NotSentError struct{ Err error }
@@ -50,6 +54,9 @@
 	// TLS enables HTTPS when set. It is called for each new connection, so that
 	// replaced keys take effect.
 	TLS func() *tls.Config
+	// MaxBody bounds the body of a response in bytes; DefaultMaxBody if zero. A larger one
+	// is an error that wraps fasthttp.ErrBodyTooLarge.
+	MaxBody int
 	// FreshConnections opens a connection for each request. With a reused
 	// connection that the peer has closed, it would be unknown whether the peer
 	// has seen the request.
@@ -61,6 +68,7 @@
 	address          string
 	scheme           string
 	timeout          time.Duration
+	maxBody          int
 	freshConnections bool
 	tls              func() *tls.Config
 	http             *fasthttp.HostClient
@@ -75,11 +83,14 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = DefaultTimeout
 	}
+	if opts.MaxBody == 0 {
+		opts.MaxBody = DefaultMaxBody
+	}
 	scheme := "http"
 	if opts.TLS != nil {
 		scheme = "https"
 	}
-	c := &Client{address: address, scheme: scheme, timeout: opts.Timeout, freshConnections: opts.FreshConnections, tls: opts.TLS}
+	c := &Client{address: address, scheme: scheme, timeout: opts.Timeout, maxBody: opts.MaxBody, freshConnections: opts.FreshConnections, tls: opts.TLS}
 	c.http = c.newHostClient(c.dial, maxConnections)
 	return c
 }
@@ -107,6 +118,7 @@
 		IsTLS:                     c.tls != nil,
 		DialTimeout:               dial,
 		MaxConns:                  connections,
+		MaxResponseBodySize:       c.maxBody,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                NeverRetry,
 		NoDefaultUserAgentHeader:  true,
--- a/pkg/jsonhttp/reuse_test.go
+++ b/pkg/jsonhttp/reuse_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // startPeer starts a server that calls serve for each request, with the number of
@@ -126,3 +127,25 @@
 		t.Error("the answer counts as a success")
 	}
 }
+
+// TestEndlessAnswerEnds guards against an answer without end that is kept until the process
+// runs out of memory.
+func TestEndlessAnswerEnds(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n"} {
+		address := startPeer(t, func(c net.Conn, _ int) bool {
+			block := make([]byte, 0x4000)
+			_, err := io.WriteString(c, head)
+			for err == nil {
+				_, err = c.Write(block)
+				if err == nil && head[9] == '5' {
+					_, err = io.WriteString(c, "\r\n4000\r\n")
+				}
+			}
+			return false
+		})
+		err := New(address, Options{Timeout: 20 * time.Second, MaxBody: 1 << 20}).Do(t.Context(), http.MethodGet, "/", nil, nil)
+		if !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			t.Errorf("%.12s: got %v, want %v", head, err, fasthttp.ErrBodyTooLarge)
+		}
+	}
+}
