relay: answer the requests that outlast a stop

Cause: the stop went on without the requests that it could no longer wait for.

Change: 0.3 s before that it cancels them: 503 with Retry-After if nothing was sent, else 502; streams break off.

--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -27,6 +27,8 @@
 	// errCallerGone cancels the work of a caller that has closed its connection.
 	errCallerGone     = errors.New("the caller closed the connection")
 	errDeadlinePassed = errors.New("the deadline of the request has passed")
+	// errHostStopping cancels the work that a stop can wait for no longer.
+	errHostStopping = errors.New("the host's time to stop is over")
 )
 
 // exchange is one request of a caller with its answer.
@@ -122,6 +124,10 @@
 		return nil
 	case errors.Is(cause, errCallerGone):
 		return refusal.Unknown(499, refusal.CodeCallerGone, "the caller closed the connection").WithCause(cause)
+	case errors.Is(cause, errHostStopping) && x.attempts == 0:
+		return stoppingRefusal().WithCause(cause)
+	case errors.Is(cause, errHostStopping):
+		return refusal.Unknown(502, refusal.CodeStopping, "the host stopped before the answer was complete").WithCause(cause)
 	case x.attempts == 0:
 		return refusal.NotRun(503, refusal.CodeTooLate, "the request's time passed before it was sent").WithCause(cause)
 	}
@@ -240,16 +246,20 @@
 	return len(f.exchanges)
 }
 
-// cancelDisconnected cancels the requests whose callers have closed their
-// connection.
-func (f *inflight) cancelDisconnected() {
+func (f *inflight) list() []*exchange {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	list := make([]*exchange, 0, len(f.exchanges))
 	for x := range f.exchanges {
 		list = append(list, x)
 	}
-	f.mu.Unlock()
-	for _, x := range list {
+	return list
+}
+
+// cancelDisconnected cancels the requests whose callers have closed their
+// connection.
+func (f *inflight) cancelDisconnected() {
+	for _, x := range f.list() {
 		if connstate.Of(x.conn) == connstate.Closed {
 			x.cancel(errCallerGone)
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -115,6 +115,19 @@
 // Stop makes the handler refuse all further requests as not run.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
+// stoppingRefusal is the refusal of a request that is not sent because of a stop.
+func stoppingRefusal() *refusal.Refusal {
+	return refusal.NotRun(503, refusal.CodeStopping, "the host is stopping").WithRetryAfter(stoppingRetryAfter)
+}
+
+// CancelAll ends all requests in flight: those whose answer has not begun are refused, as
+// not run if they have not been sent, and streams break off.
+func (h *Handler) CancelAll() {
+	for _, x := range h.inflight.list() {
+		x.cancel(errHostStopping)
+	}
+}
+
 // InFlight returns the number of requests that are not answered completely.
 func (h *Handler) InFlight() int { return h.inflight.len() }
 
@@ -182,7 +195,7 @@
 // deadline.
 func (h *Handler) prepare(x *exchange) *refusal.Refusal {
 	if h.stopping.Load() {
-		return refusal.NotRun(503, refusal.CodeStopping, "the host is stopping").WithRetryAfter(stoppingRetryAfter)
+		return stoppingRefusal()
 	}
 	h.awaitReady(x)
 	table, err := h.Routes.Current()
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -18,6 +18,9 @@
 	// not end within the grace time; its caller gets another host at once.
 	lastRequestTime  = 2800 * time.Millisecond
 	lastRequestShare = 0.35
+	// lastAnswerTime is how long before the end of the wait for requests in flight those
+	// that are left are refused: their callers get an answer instead of a cut.
+	lastAnswerTime = 300 * time.Millisecond
 	// stopMargin is the part of the grace time that is kept for the last
 	// flushes.
 	stopMargin = 700 * time.Millisecond
@@ -54,7 +57,8 @@
 // response. It goes on serving for lastRequestTime and refuses later requests as not
 // run, because they might not be answered in time. Once the load balancer sends no new
 // connections it closes idle ones, and waits for the requests in flight as long as its
-// grace time allows. An answer is complete once its connection is closed.
+// grace time allows; those that are left then are refused. An answer is complete once its
+// connection is closed.
 func (h *Host) drain(callers net.Listener) {
 	started := time.Now()
 	h.log.WithField("in_flight", h.handler.InFlight()).Info("host_draining")
@@ -66,9 +70,19 @@
 	time.Sleep(min(lbRemovalTime, h.settings.Grace/2) - serving)
 	h.conns.Close(callers)
 	h.log.WithField("in_flight", h.handler.InFlight()).WithField("connections", h.conns.Open()).Info("host_closing_connections")
-	for !h.conns.Done() && time.Since(started) < h.settings.Grace-stopMargin {
-		time.Sleep(drainPollInterval)
+	h.awaitConnections(started.Add(h.settings.Grace - stopMargin - lastAnswerTime))
+	if left := h.handler.InFlight(); left > 0 {
+		h.log.WithField("in_flight", left).Warn("requests_cancelled")
+		h.handler.CancelAll()
 	}
+	h.awaitConnections(started.Add(h.settings.Grace - stopMargin))
 	h.log.WithFields(log.Fields{"in_flight": h.handler.InFlight(), "connections": h.conns.Open(), "closed_idle": h.conns.ClosedIdle.Value(),
 		"read_in_close": h.conns.ReadInClose.Value()}).Info("host_drained")
 }
+
+// awaitConnections waits until the connections of callers are closed, at most until end.
+func (h *Host) awaitConnections(end time.Time) {
+	for !h.conns.Done() && time.Now().Before(end) {
+		time.Sleep(drainPollInterval)
+	}
+}
