keyedlog, fleet, relayhost: records of another writer hide nothing

Causes: the newest record of each key was chosen before it was known whether it can be used; a load of the whole list took an endpoint as announced by any record of its key; an entry in a service that no configuration names displaced the endpoint's own.

Change: keyedlog.Options.Classify tells changes, repetitions and unusable records apart before the newest is chosen. A member whose newest record is of another writer is kept for 1.6 s, within which a live endpoint announces itself again; leaders pass on the first announcement after such a record. Announcements in services that are not configured wait in relayhost until they are, and an endpoint keeps its service.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -16,6 +16,10 @@
 // longest ago, whose announcements have long lapsed, are forgotten first.
 const maxLeaving = 4096
 
+// obscuredTime is how long a member is kept whose newest record is of another writer. Live
+// endpoints announce themselves each 1.2 s, and it takes up to 250 ms to read that.
+const obscuredTime = 1600 * time.Millisecond
+
 // Member is an endpoint as it last announced itself.
 type Member struct {
 	endpoint.Endpoint
@@ -81,8 +85,11 @@
 	misdirected map[string]Member
 	// lapsedAt holds when the announcements of retained members lapsed.
 	lapsedAt map[string]time.Time
-	store    storeWatch
-	version  int64
+	// obscuredAt holds when members were found whose newest record is of another writer,
+	// so that it is not known whether they have lapsed.
+	obscuredAt map[string]time.Time
+	store      storeWatch
+	version    int64
 	// membersByService caches the results of Members. Each change of a member
 	// clears it; an announcement that only repeats the last one does not, so that
 	// the cached members may have an earlier Sequence.
@@ -99,7 +106,7 @@
 func NewRegistry() *Registry {
 	// NewLRU fails only for sizes below one.
 	leaving, _ := lru.NewLRU[string, int64](maxLeaving, nil)
-	return &Registry{members: map[string]Member{}, leaving: leaving, misdirected: map[string]Member{}, lapsedAt: map[string]time.Time{}, membersByService: map[string][]Member{}}
+	return &Registry{members: map[string]Member{}, leaving: leaving, misdirected: map[string]Member{}, lapsedAt: map[string]time.Time{}, obscuredAt: map[string]time.Time{}, membersByService: map[string][]Member{}}
 }
 
 // StoreAnswered records that the store answered this or another host at a time.
@@ -140,14 +147,16 @@
 	return r.store.recentOutage(now)
 }
 
-// Announce applies an announcement and returns what it changed.
+// Announce applies an announcement and returns what it changed. An endpoint belongs to one
+// service from its start on: an announcement of the same start in another one is not its own.
 func (r *Registry) Announce(m Member) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, known := r.members[m.ID]
-	if known && m.olderThan(old) {
+	if known && (m.olderThan(old) || m.StartedMillis == old.StartedMillis && m.Service != old.Service) {
 		return Unchanged
 	}
+	delete(r.obscuredAt, m.ID)
 	r.endMisdirected(m)
 	if started, marked := r.leaving.Peek(m.ID); marked && m.StartedMillis <= started && m.State == endpoint.StateLive {
 		m.State = endpoint.StateLeaving
@@ -237,14 +246,17 @@
 	delete(r.members, id)
 	delete(r.misdirected, id)
 	delete(r.lapsedAt, id)
+	delete(r.obscuredAt, id)
 	clear(r.membersByService)
 	r.version++
 }
 
 // Reset applies a full listing of the store's announcements, which is needed
 // after records of the store were missed. Members that are not listed are
-// treated as lapsed. It returns the IDs of the members that were removed.
-func (r *Registry) Reset(listed map[string]bool, now time.Time) []string {
+// treated as lapsed. It returns the IDs of the members that were removed. obscured are
+// those whose newest record is of another writer: they are kept for obscuredTime, in which
+// live endpoints announce themselves again.
+func (r *Registry) Reset(listed, obscured map[string]bool, now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var removed []string
@@ -252,6 +264,10 @@
 		if listed[id] {
 			continue
 		}
+		if obscured[id] {
+			r.obscuredAt[id] = now
+			continue
+		}
 		if r.store.recentOutage(now) {
 			r.lapsedAt[id] = now
 			continue
@@ -262,8 +278,22 @@
 	return removed
 }
 
+// Obscure records that the newest record of a member is of another writer, so that it is
+// not known whether the member's announcement has lapsed. It is kept as by Reset.
+func (r *Registry) Obscure(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.members[id]; !known {
+		return
+	}
+	if _, obscured := r.obscuredAt[id]; !obscured {
+		r.obscuredAt[id] = now
+	}
+}
+
 // Expire removes the members whose announcements are still missing OutageGrace
-// after the store's return. It returns their IDs.
+// after the store's return, or obscuredTime after they were found obscured. It returns
+// their IDs.
 func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -275,6 +305,12 @@
 		r.removeMember(id)
 		removed = append(removed, id)
 	}
+	for id, at := range r.obscuredAt {
+		if now.Sub(at) >= obscuredTime {
+			r.removeMember(id)
+			removed = append(removed, id)
+		}
+	}
 	return removed
 }
 
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -126,11 +126,74 @@
 	r := NewRegistry()
 	r.Announce(member("a", 1, 1, endpoint.StateLive))
 	r.Announce(member("b", 1, 1, endpoint.StateLive))
-	if gone := r.Reset(map[string]bool{"a": true}, start); len(gone) != 1 || gone[0] != "b" || len(r.Members("s")) != 1 {
+	if gone := r.Reset(map[string]bool{"a": true}, nil, start); len(gone) != 1 || gone[0] != "b" || len(r.Members("s")) != 1 {
 		t.Errorf("removed %v", gone)
 	}
 }
 
+// TestObscuredEndpoint guards against an endpoint that is lost because the newest record of
+// its key is of another writer, and against one that is kept for good although it is gone.
+func TestObscuredEndpoint(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(member("alive", 1, 1, endpoint.StateLive))
+	r.Announce(member("gone", 1, 1, endpoint.StateLive))
+	if gone := r.Reset(nil, map[string]bool{"alive": true, "gone": true}, start); len(gone) != 0 || len(r.Members("s")) != 2 {
+		t.Errorf("removed %v at once", gone)
+	}
+	r.Announce(member("alive", 1, 2, endpoint.StateLive))
+	if gone := r.Expire(start.Add(obscuredTime - time.Millisecond)); len(gone) != 0 {
+		t.Errorf("removed %v too early", gone)
+	}
+	if gone := r.Expire(start.Add(obscuredTime)); len(gone) != 1 || gone[0] != "gone" || len(r.Members("s")) != 1 {
+		t.Errorf("removed %v", gone)
+	}
+}
+
+// TestEndpointKeepsItsService guards against an announcement of another writer that brings
+// an endpoint to another service, whose requests it would then run.
+func TestEndpointKeepsItsService(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(member("a", 1, 1, endpoint.StateLive))
+	foreign := member("a", 1, 100, endpoint.StateLive)
+	foreign.Service = "other"
+	if change := r.Announce(foreign); change != Unchanged || len(r.Members("other")) != 0 {
+		t.Errorf("%q", change)
+	}
+	if change := r.Announce(member("a", 1, 2, endpoint.StateLeaving)); change != Leaving {
+		t.Errorf("its own announcement: %q", change)
+	}
+}
+
+// TestAnnouncementAfterAnotherWriter guards against an announcement that repeats the last
+// one, is therefore not passed on, and is not known to a host that has read only the record
+// of another writer in between.
+func TestAnnouncementAfterAnotherWriter(t *testing.T) {
+	a := NewAnnouncements()
+	foreign := member("a", 1, 100, endpoint.StateLive)
+	foreign.Service = "other"
+	steps := []struct {
+		m    Member
+		odd  bool
+		want bool
+	}{
+		{member("a", 1, 1, endpoint.StateLive), false, true},
+		{member("a", 1, 2, endpoint.StateLive), false, false},
+		{member("a", 1, 3, endpoint.StateLive), true, true},
+		{member("a", 1, 4, endpoint.StateLive), false, false},
+		{foreign, false, true},
+		{member("a", 1, 5, endpoint.StateLive), false, true},
+		{member("a", 1, 6, endpoint.StateLive), false, false},
+	}
+	for i, s := range steps {
+		if s.odd {
+			a.Obscure("a")
+		}
+		if got := a.Announce(s.m); got != s.want {
+			t.Errorf("step %d: %v, want %v", i, got, s.want)
+		}
+	}
+}
+
 // TestRepeatedAnnouncementChangesNothing guards against the cost of announcements that
 // endpoints write again each second: with a thousand endpoints, each request had the
 // list of members sorted anew.
--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -74,6 +74,17 @@
 	Write(ctx context.Context, topic, key string, value []byte) error
 }
 
+// Class is what a record is compared with the earlier ones of its key.
+type Class int
+
+// Classes. A Change is published by leaders, a Repetition is not. An Unusable record, such
+// as one of another writer, is treated as if it had not been written.
+const (
+	Change Class = iota
+	Repetition
+	Unusable
+)
+
 // Options configure a Follower.
 type Options struct {
 	Client Client
@@ -83,20 +94,20 @@
 	// MinInterval returns the least time between the starts of two reads, which
 	// bounds their rate. Nil sets no bound.
 	MinInterval func() time.Duration
-	// Apply receives changes. Of the changes to one key that arrive together it
+	// Apply receives usable records. Of those of one key that arrive together it
 	// receives only the newest.
 	Apply func(Record)
-	// Changes reports whether a record differs from the earlier ones of its key in
-	// what they state; leaders publish only those that do. It must depend on the
-	// records of the topic alone: what this host knows from another source, another
-	// host may not know. It is called for each record, in offset order, before Apply.
-	// Of the records of a key that arrive together, the newest is published if any of
-	// them is a change, because other hosts may know only the first ones. If it is nil,
-	// leaders publish the newest record of each key.
-	Changes func(Record) bool
+	// Classify returns what a record is compared with the earlier ones of its key. It must
+	// depend on the records of the topic alone: what this host knows from another source,
+	// another host may not know. It is called for each record, in offset order, before
+	// Apply. Of the records of a key that arrive together, the newest is published if any
+	// of them is a Change, because other hosts may know only the first ones. If it is nil,
+	// all records are changes.
+	Classify func(Record) Class
 	// Applied, if set, is called once after the changes that arrived together.
 	Applied func()
-	// Reset receives the newest records of all keys, which replace the state.
+	// Reset receives the newest records of all keys, also unusable ones, which replace
+	// the state.
 	Reset func([]Record)
 	// OnAnswer, if set, is called for each read that the store answered, before its
 	// records are applied. OnUnavailable, if set, is called for each read that failed
@@ -260,15 +271,25 @@
 	return nil
 }
 
-// apply applies the newest record of each key and returns those that other hosts need.
+// apply applies the newest usable record of each key and returns those that other hosts
+// need.
 func (f *Follower) apply(records []Record) []Record {
 	changed := map[string]bool{}
+	usable := make([]Record, 0, len(records))
 	for _, r := range records {
-		if f.opts.Changes == nil || f.opts.Changes(r) || r.Offset < f.reloadedTo {
+		class := Change
+		if f.opts.Classify != nil {
+			class = f.opts.Classify(r)
+		}
+		if class == Unusable {
+			continue
+		}
+		usable = append(usable, r)
+		if class == Change || r.Offset < f.reloadedTo {
 			changed[r.Key] = true
 		}
 	}
-	newest := newestPerKey(records)
+	newest := newestPerKey(usable)
 	for _, r := range newest {
 		f.opts.Apply(r)
 	}
--- a/pkg/keyedlog/keyedlog_test.go
+++ b/pkg/keyedlog/keyedlog_test.go
@@ -130,12 +130,21 @@
 	}
 }
 
-// changes reports whether a record that is not applied yet differs from the state.
-func (s *state) changes(r Record) bool {
+// unusable is the value of a record of another writer.
+const unusable = "unusable"
+
+// classify compares a record that is not applied yet with the state.
+func (s *state) classify(r Record) Class {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, known := s.values[r.Key]
-	return r.Dropped || !known || old != string(r.Value)
+	switch {
+	case string(r.Value) == unusable:
+		return Unusable
+	case r.Dropped || !known || old != string(r.Value):
+		return Change
+	}
+	return Repetition
 }
 
 func (s *state) reset(records []Record) {
@@ -156,7 +165,7 @@
 func follow(t *testing.T, l *fakeLog, wait time.Duration) (*Follower, *state) {
 	t.Helper()
 	s := &state{values: map[string]string{}}
-	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return wait }, Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard()})
+	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return wait }, Apply: s.apply, Classify: s.classify, Reset: s.reset, Log: logging.Discard()})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -347,3 +356,23 @@
 		t.Errorf("%d reports of two failed reads, want that of the store's statement", reported)
 	}
 }
+
+// TestUnusableRecordHidesNothing guards against a removal or a value that is not applied or
+// published because a record of another writer follows it in the same page.
+func TestUnusableRecordHidesNothing(t *testing.T) {
+	s := &state{values: map[string]string{"kept": "1", "removed": "1"}}
+	f := NewFollower(Options{Apply: s.apply, Classify: s.classify, Log: logging.Discard()})
+	published := f.apply([]Record{
+		{Key: "removed", Offset: 1, Dropped: true},
+		{Key: "kept", Value: []byte("2"), Offset: 2},
+		{Key: "removed", Value: []byte(unusable), Offset: 3},
+		{Key: "kept", Value: []byte(unusable), Offset: 4},
+		{Key: "foreign", Value: []byte(unusable), Offset: 5},
+	})
+	if len(s.values) != 1 || s.values["kept"] != "2" {
+		t.Errorf("state %v", s.values)
+	}
+	if len(published) != 2 || !published[0].Dropped || string(published[1].Value) != "2" {
+		t.Errorf("published %+v", published)
+	}
+}
--- a/pkg/keyedlog/shared.go
+++ b/pkg/keyedlog/shared.go
@@ -40,7 +40,7 @@
 	MaxConfirmationAge time.Duration
 	// Publish receives each page with records that this host has read as a
 	// leader, and the offset from which it was read. The page has only the records
-	// for which Options.Changes holds: endpoints write their announcements again each second,
+	// that are a Change: endpoints write their announcements again each second,
 	// and the other hosts would spend most of their control work on these. If it is
 	// nil, the other hosts read the records themselves.
 	Publish func(from int64, page Page)
--- a/pkg/keyedlog/shared_test.go
+++ b/pkg/keyedlog/shared_test.go
@@ -36,7 +36,7 @@
 	for i := range hosts {
 		s := &state{values: map[string]string{}}
 		f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 300 * time.Millisecond },
-			MinInterval: func() time.Duration { return 10 * time.Millisecond }, Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard(),
+			MinInterval: func() time.Duration { return 10 * time.Millisecond }, Apply: s.apply, Classify: s.classify, Reset: s.reset, Log: logging.Discard(),
 			Sharing: &Sharing{
 				MaxConfirmationAge: testMaxConfirmationAge,
 				Leads:              func() bool { return g.leads(i, leaders) },
@@ -277,7 +277,7 @@
 	published, next := 0, int64(0)
 	s := &state{values: map[string]string{}}
 	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 100 * time.Millisecond },
-		Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard(),
+		Apply: s.apply, Classify: s.classify, Reset: s.reset, Log: logging.Discard(),
 		Sharing: &Sharing{MaxConfirmationAge: testMaxConfirmationAge, Leads: func() bool { return true },
 			Publish: func(_ int64, page Page) {
 				mu.Lock()
@@ -335,7 +335,7 @@
 	published := make(chan Record, 10)
 	s := &state{values: map[string]string{}}
 	f := NewFollower(Options{Client: l, Topic: "t", PollWait: func() time.Duration { return 100 * time.Millisecond },
-		Apply: s.apply, Changes: s.changes, Reset: s.reset, Log: logging.Discard(),
+		Apply: s.apply, Classify: s.classify, Reset: s.reset, Log: logging.Discard(),
 		Sharing: &Sharing{MaxConfirmationAge: testMaxConfirmationAge, Leads: func() bool { return true },
 			Publish: func(_ int64, page Page) {
 				for _, r := range page.Records {
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -152,6 +152,7 @@
 	h.exchange.SendSoon()
 	h.log.WithFields(log.Fields{"version": document.Version, "offset": r.Offset, "routes": len(document.Routes), "teams": len(document.Teams), "taken": accepted}).Info("configuration_read")
 	if accepted {
+		h.announceNamed()
 		h.updateEngineProperties(document)
 		h.invalidateModels()
 		h.refreshModels()
@@ -179,7 +180,7 @@
 	return keyedlog.NewFollower(keyedlog.Options{
 		Client: h.adapter.KeyedLog, Topic: h.adapter.EndpointsTopic, PollWait: h.readWait,
 		MinInterval: func() time.Duration { return endpointsReadInterval }, Sharing: h.sharing(h.adapter.EndpointsTopic, maxConfirmationAge),
-		Apply: h.applyEndpoint, Changes: h.changesAnnounced,
+		Apply: h.applyEndpoint, Classify: h.classifyAnnouncement,
 		// Hundreds of endpoints may come in one page, and each refresh costs as much
 		// as there are endpoints.
 		Applied:  h.refreshModels,
@@ -191,14 +192,20 @@
 
 // resetEndpoints replaces the registered endpoints with the announced ones.
 func (h *Host) resetEndpoints(records []keyedlog.Record) {
-	listed := map[string]bool{}
+	listed, obscured := map[string]bool{}, map[string]bool{}
 	h.announced.Reset()
+	h.unnamed.mu.Lock()
+	clear(h.unnamed.last)
+	h.unnamed.mu.Unlock()
 	for _, r := range records {
+		if h.classifyAnnouncement(r) == keyedlog.Unusable {
+			obscured[r.Key] = true
+			continue
+		}
 		listed[r.Key] = true
-		h.changesAnnounced(r)
 		h.applyEndpoint(r)
 	}
-	for _, id := range h.fleet.Reset(listed, time.Now()) {
+	for _, id := range h.fleet.Reset(listed, obscured, time.Now()) {
 		h.endpointGone(id)
 	}
 	h.refreshModels()
@@ -214,19 +221,30 @@
 	}
 }
 
-// changesAnnounced reports whether a record changes what its endpoint has announced.
-func (h *Host) changesAnnounced(r keyedlog.Record) bool {
+// classifyAnnouncement implements keyedlog.Options.Classify for announcements.
+func (h *Host) classifyAnnouncement(r keyedlog.Record) keyedlog.Class {
 	if r.Dropped {
 		h.announced.Lapse(r.Key)
-		return true
+		return keyedlog.Change
 	}
 	member, err := h.adapter.DecodeEndpoint(r.Key, r.Value)
-	return err == nil && h.announced.Announce(member)
+	if err != nil {
+		h.log.WithField("offset", r.Offset).WithError(err).Warn("announcement_not_usable")
+		h.announced.Obscure(r.Key)
+		return keyedlog.Unusable
+	}
+	if h.announced.Announce(member) {
+		return keyedlog.Change
+	}
+	return keyedlog.Repetition
 }
 
 // applyEndpoint applies an announcement or its lapse to the registry.
 func (h *Host) applyEndpoint(r keyedlog.Record) {
+	h.unnamed.mu.Lock()
+	defer h.unnamed.mu.Unlock()
 	if r.Dropped {
+		delete(h.unnamed.last, r.Key)
 		change := h.fleet.Remove(r.Key, time.Now())
 		if change == fleet.Removed {
 			h.endpointGone(r.Key)
@@ -237,9 +255,15 @@
 	}
 	member, err := h.adapter.DecodeEndpoint(r.Key, r.Value)
 	if err != nil {
-		h.log.WithField("offset", r.Offset).WithError(err).Warn("announcement_not_usable")
 		return
 	}
+	h.applyAnnouncement(endpointRecord{member, r.Offset})
+}
+
+// announceMember applies an announcement to the registry. It must be called with
+// unnamed.mu held.
+func (h *Host) announceMember(a endpointRecord) {
+	member := a.member
 	change := h.fleet.Announce(member)
 	if change == fleet.Unchanged {
 		return
@@ -249,7 +273,7 @@
 	}
 	h.limitStarted(member, change)
 	h.log.WithFields(log.Fields{"endpoint": member.ID, "service": member.Service, "change": string(change),
-		"state": string(member.State), "role": string(member.Role), "offset": r.Offset}).Info("endpoint_changed")
+		"state": string(member.State), "role": string(member.Role), "offset": a.offset}).Info("endpoint_changed")
 }
 
 // endpointGone logs that an endpoint has left and drops its outlier state.
--- a/pkg/relayhost/follow_test.go
+++ b/pkg/relayhost/follow_test.go
@@ -18,6 +18,7 @@
 	"github.com/clementineshed/clementineshed/pkg/logservice"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
+	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -141,3 +142,57 @@
 	store.pages <- []keyedlog.Record{announced(string(endpoint.StateLeaving) + " 3"), announced(live + " 4")}
 	wantReceived(t, received, live+" 4")
 }
+
+// TestAnnouncementAfterAnotherWriterIsForwarded guards against an endpoint that other hosts
+// do not know, or do not know to be removed, because a record of another writer stands
+// between its announcements.
+func TestAnnouncementAfterAnotherWriterIsForwarded(t *testing.T) {
+	_, store, received := startLeader(t)
+	live := string(endpoint.StateLive)
+	store.pages <- []keyedlog.Record{announced(live + " 1")}
+	wantReceived(t, received, live+" 1")
+	store.pages <- []keyedlog.Record{announced("unreadable")}
+	store.pages <- []keyedlog.Record{announced(live + " 2")}
+	wantReceived(t, received, live+" 2")
+	store.pages <- []keyedlog.Record{announced(""), announced("unreadable")}
+	wantReceived(t, received, "")
+}
+
+// TestEndpointWaitsForItsService guards against an announcement in a service that no
+// configuration names, which takes the place of the endpoint's own one, and against an
+// endpoint that is never used because it was announced before its service was configured.
+func TestEndpointWaitsForItsService(t *testing.T) {
+	h := New(Settings{Host: "h"}, Adapter{DecodeEndpoint: func(id string, data []byte) (fleet.Member, error) {
+		service, words, _ := strings.Cut(string(data), ":")
+		m, err := decodeWords(id, []byte(words))
+		m.Service = service
+		return m, err
+	}}, logging.Discard())
+	configure := func(services ...string) {
+		document := routes.Document{Version: int64(len(services))}
+		for _, name := range services {
+			document.Services = append(document.Services, routes.Service{Name: name})
+		}
+		h.routes.Update(routes.NewTable(document))
+		h.announceNamed()
+	}
+	live := string(endpoint.StateLive)
+	h.applyEndpoint(announced("desk:" + live + " 1"))
+	if h.fleet.Len() != 0 {
+		t.Error("known before any configuration")
+	}
+	configure("desk")
+	if len(h.fleet.Members("desk")) != 1 {
+		t.Error("not known after its service was configured")
+	}
+	h.applyEndpoint(announced("elsewhere:" + live + " 9"))
+	h.applyEndpoint(announced("desk:" + string(endpoint.StateLeaving) + " 2"))
+	if m, found := h.fleet.Find("e1"); !found || m.Service != "desk" || m.State != endpoint.StateLeaving {
+		t.Errorf("got %+v", m)
+	}
+	h.applyEndpoint(announced(""))
+	configure("desk", "elsewhere")
+	if h.fleet.Len() != 0 {
+		t.Error("a removed endpoint is back")
+	}
+}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -84,6 +84,7 @@
 	fleet  *fleet.Registry
 	// announced is used only by the follower of the announcements.
 	announced *fleet.Announcements
+	unnamed   unnamedEndpoints
 	models    *placement.Models
 	balancer  *placement.Balancer
 	outliers  *outlier.Tracker
@@ -126,7 +127,7 @@
 // New returns a host that listens on no port until Run is called.
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	memory := membudget.New(membudget.HostLimit(settings.MemoryBytes))
-	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), pace: pace.NewLimiter(settings.Host),
+	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), unnamed: unnamedEndpoints{last: map[string]endpointRecord{}}, pace: pace.NewLimiter(settings.Host),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
 	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory})
