--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -62,8 +62,8 @@
 	mayRead int
 }
 
-// errEndless reports an answer with more framing than body.
-var errEndless = errors.New("the answer has more bytes than the largest body and as many of framing")
+// errEndless reports an answer with more bytes than the largest body and as many of framing.
+var errEndless = errors.New("the answer is too long")
 
 // Read implements net.Conn.
 func (c *chargedConn) Read(p []byte) (int, error) {
--- a/pkg/jsonhttp/client.go
+++ b/pkg/jsonhttp/client.go
@@ -23,8 +23,9 @@
 const DefaultTimeout = 2 * time.Second
 
 // DefaultMaxBody is the default bound of a response's body, in bytes. It exceeds the largest
-// page of a log or document that is read with one request.
-const DefaultMaxBody = 32 << 20
+// page of a log, 512 records of 256 KiB that are encoded twice in base64. Clients of peers
+// that are trusted less, such as engines, set a lower one.
+const DefaultMaxBody = 512 << 20
 
 // NotSentError reports that the request was not sent, so that the peer cannot
 // have seen it.
