--- a/pkg/gate/answer_test.go
+++ b/pkg/gate/answer_test.go
@@ -36,19 +36,29 @@
 	return string(received)
 }
 
+// startService starts a service that runs serve on its first connection and then closes
+// it, and returns its address.
+func startService(t *testing.T, serve func(c net.Conn)) string {
+	t.Helper()
+	l := listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		serve(c)
+	}()
+	return l.Addr().String()
+}
+
 // TestServiceAnswerThatBreaksOffIsNoAnswer guards against a service's answer that breaks
 // off within its head or body, or is reset, and is taken as whole. One that ends with its
 // connection is whole.
 func TestServiceAnswerThatBreaksOffIsNoAnswer(t *testing.T) {
 	call := func(text string, reset bool) (ServiceAnswer, error) {
-		l := listen(t)
-		defer func() { _ = l.Close() }()
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
+		address := startService(t, func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
 			}
@@ -57,8 +67,8 @@
 				time.Sleep(20 * time.Millisecond)
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
-		}()
-		return NewServiceClient(nil).Call(t.Context(), l.Addr().String(), &ServiceRequest{Method: "GET", URI: "/"})
+		})
+		return NewServiceClient(nil).Call(t.Context(), address, &ServiceRequest{Method: "GET", URI: "/"})
 	}
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
@@ -107,22 +117,15 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := listen(t)
-			defer func() { _ = l.Close() }()
 			proceed, read := make(chan struct{}), make(chan error, 1)
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
+			address := startService(t, func(c net.Conn) {
 				<-proceed
-				_, err = io.Copy(io.Discard, c)
+				_, err := io.Copy(io.Discard, c)
 				read <- err
-			}()
+			})
 			ctx, cancel := giveUp(t.Context())
 			defer cancel()
-			if _, err := NewServiceClient(nil).Call(ctx, l.Addr().String(), &ServiceRequest{Method: "POST", URI: "/", Body: make([]byte, 64<<10)}); err == nil {
+			if _, err := NewServiceClient(nil).Call(ctx, address, &ServiceRequest{Method: "POST", URI: "/", Body: make([]byte, 64<<10)}); err == nil {
 				t.Error("the call was answered")
 			}
 			close(proceed)
@@ -137,19 +140,12 @@
 // that reaches the caller: 000 as 200, another one as it is.
 func TestStatus000IsNoAnswer(t *testing.T) {
 	for _, status := range []string{"000", "007"} {
-		l := listen(t)
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
+		address := startService(t, func(c net.Conn) {
 			_, _ = http.ReadRequest(bufio.NewReader(c))
 			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 5\r\n\r\nhello")
-		}()
-		if answer, err := NewServiceClient(nil).Call(t.Context(), l.Addr().String(), &ServiceRequest{Method: "GET", URI: "/"}); err == nil {
+		})
+		if answer, err := NewServiceClient(nil).Call(t.Context(), address, &ServiceRequest{Method: "GET", URI: "/"}); err == nil {
 			t.Errorf("%s was taken as %d %q", status, answer.Status, answer.Body)
 		}
-		_ = l.Close()
 	}
 }
--- a/pkg/gate/endless_test.go
+++ b/pkg/gate/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -30,25 +31,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l := listen(t)
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
+			address := startService(t, func(c net.Conn) {
 				_, _ = http.ReadRequest(bufio.NewReader(c))
-				_, err = io.WriteString(c, answer[0])
+				_, err := io.WriteString(c, answer[0])
 				for block := strings.Repeat(answer[1], 1+8192/len(answer[1])); err == nil; {
 					_, err = io.WriteString(c, block)
 				}
-			}()
+			})
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			client := NewServiceClient(nil)
 			client.answers = membudget.NewAnswers(membudget.New(64 << 20))
-			if got, err := client.Call(ctx, l.Addr().String(), &ServiceRequest{Method: "GET", URI: "/"}); err == nil || ctx.Err() != nil {
+			if got, err := client.Call(ctx, address, &ServiceRequest{Method: "GET", URI: "/"}); err == nil || ctx.Err() != nil {
 				t.Errorf("got status %d, %v, context %v", got.Status, err, ctx.Err())
 			}
 		})
--- a/pkg/gate/uploadreset_test.go
+++ b/pkg/gate/uploadreset_test.go
@@ -10,20 +10,13 @@
 // TestAnswerResetDuringUploadIsNoAnswer guards against an answer without a length that is
 // reset while the request is still being sent, and whose first part is taken as whole.
 func TestAnswerResetDuringUploadIsNoAnswer(t *testing.T) {
-	l := listen(t)
-	defer func() { _ = l.Close() }()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	address := startService(t, func(c net.Conn) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart of the answer")
 		time.Sleep(50 * time.Millisecond)
 		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}()
+	})
 	request := &ServiceRequest{Method: "POST", URI: "/", Body: make([]byte, 32<<20)}
-	if answer, err := NewServiceClient(nil).Call(t.Context(), l.Addr().String(), request); err == nil {
+	if answer, err := NewServiceClient(nil).Call(t.Context(), address, request); err == nil {
 		t.Errorf("a reset was taken as the end of %q", answer.Body)
 	}
 }
