--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -74,7 +74,7 @@
 	Write(ctx context.Context, topic, key string, value []byte) error
 }
 
-// Class is what a record is compared with the earlier ones of its key.
+// Class says how a record compares with the earlier ones of its key.
 type Class int
 
 // Classes. A Change is published by leaders, a Repetition is not. An Unusable record, such
@@ -97,12 +97,12 @@
 	// Apply receives usable records. Of those of one key that arrive together it
 	// receives only the newest.
 	Apply func(Record)
-	// Classify returns what a record is compared with the earlier ones of its key. It must
-	// depend on the records of the topic alone: what this host knows from another source,
-	// another host may not know. It is called for each record, in offset order, before
-	// Apply. Of the records of a key that arrive together, the newest is published if any
-	// of them is a Change, because other hosts may know only the first ones. If it is nil,
-	// all records are changes.
+	// Classify compares a record with the earlier ones of its key. It must depend on the
+	// records of the topic alone: what this host knows from another source, another host
+	// may not know. It is called for each record, in offset order, before Apply. Of the
+	// records of a key that arrive together, the newest is published if any of them is a
+	// Change, because other hosts may know only the first ones. If it is nil, all records
+	// are changes.
 	Classify func(Record) Class
 	// Applied, if set, is called once after the changes that arrived together.
 	Applied func()
