httphead: an answer with an invalid field name is none

A line such as Content-Length : 1 framed the body: the caller got its first byte as the whole. A line that begins with a blank continued the value of the field before it, such as a stamp.

Cause: fasthttp accepts blanks in names and removes those before the colon; upstream, gate, engineclient and jsonhttp relied on its parser. jsonhttp looked at the first bytes of an answer only, so that after an interim answer a status of 000 counted as a success as well.

Control bytes, a name without bytes and a line without a colon were refused already.

--- a/pkg/engineclient/answers_test.go
+++ b/pkg/engineclient/answers_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
+	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
 // startEngine starts an engine that calls serve for each request, with the number of
@@ -259,9 +260,16 @@
 // and returns the first error.
 func generateOnce(t *testing.T, statusLine string) error {
 	t.Helper()
-	address := startEngine(t, func(c net.Conn, _ int, id string) bool {
-		event := fmt.Sprintf("data: {\"request_id\":%q,\"done\":true}\n\n", id)
-		_, _ = fmt.Fprintf(c, "%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, len(event), event)
+	event := "data: {\"request_id\":\"r-1\",\"done\":true}\n\n"
+	return generateAtOnce(t, fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, len(event), event))
+}
+
+// generateAtOnce opens the stream r-1 at an engine that sends the answer, and returns the
+// first error.
+func generateAtOnce(t *testing.T, answer string) error {
+	t.Helper()
+	address := startEngine(t, func(c net.Conn, _ int, _ string) bool {
+		_, _ = io.WriteString(c, answer)
 		return false
 	})
 	s, err := newClient(t).Generate(t.Context(), address, enginewire.GenerateRequest{RequestID: "r-1"}, nil)
@@ -307,3 +315,15 @@
 		}
 	}
 }
+
+// TestInvalidHeadIsNoStream guards against a stream whose head has an invalid field name or
+// status.
+func TestInvalidHeadIsNoStream(t *testing.T) {
+	event := "data: {\"request_id\":\"r-1\",\"done\":true}\n\n"
+	for name, text := range badhead.Answers("", event) {
+		var broken *BrokenError
+		if err := generateAtOnce(t, text); !errors.As(err, &broken) {
+			t.Errorf("%s: got %v, want a broken answer", name, err)
+		}
+	}
+}
--- a/pkg/gate/answer_test.go
+++ b/pkg/gate/answer_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
 // postBroken sends a request whose answer must be cut, so that its framing shows that it
@@ -149,3 +151,17 @@
 		}
 	}
 }
+
+// TestInvalidHeadIsNoAnswer guards against an answer of a service that reaches the caller,
+// or whose body is framed, by a head with an invalid field name or status.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	for name, text := range badhead.Answers("Content-Type: text/plain\r\n", "hello") {
+		address := startService(t, func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, text)
+		})
+		if answer, err := NewServiceClient(nil).Call(t.Context(), address, &ServiceRequest{Method: "GET", URI: "/"}); err == nil {
+			t.Errorf("%s: was taken as %d %q", name, answer.Status, answer.Body)
+		}
+	}
+}
--- a/pkg/jsonhttp/reuse_test.go
+++ b/pkg/jsonhttp/reuse_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
 // startPeer starts a server that calls serve for each request, with the number of
@@ -149,3 +152,27 @@
 		}
 	}
 }
+
+// TestInvalidHeadIsNoAnswer guards against a success that is read from an answer whose head,
+// or that of an interim answer before it, has an invalid field name or status, also if it
+// arrives in pieces.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	for name, text := range badhead.Answers("Content-Type: application/json\r\n", "{}") {
+		for _, piece := range []int{len(text), 7} {
+			address := startPeer(t, func(c net.Conn, _ int) bool {
+				for part := range slices.Chunk([]byte(text), piece) {
+					_, _ = c.Write(part)
+					if piece < len(text) {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				return false
+			})
+			err := New(address, Options{}).Do(t.Context(), http.MethodPost, "/", struct{}{}, nil)
+			var status *StatusError
+			if err == nil || errors.As(err, &status) {
+				t.Errorf("%s, in pieces of %d bytes: got %v", name, piece, err)
+			}
+		}
+	}
+}
--- a/pkg/upstream/answers_test.go
+++ b/pkg/upstream/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
 // TestTruncatedHeadIsNoAnswer guards against an answer whose peer closes the connection
@@ -82,3 +85,39 @@
 		}
 	}
 }
+
+// TestInvalidHeadIsNoAnswer guards against an answer that is passed on, or whose body is
+// framed, by a head with an invalid field name or status, and against a connection that is
+// kept after it.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 5\r\n"} {
+		for name, text := range badhead.Answers("Content-Type: text/plain\r\n"+framing, "hello") {
+			closed := make(chan error, 1)
+			address := startPeer(t, func(c net.Conn, r *bufio.Reader) {
+				respondOnce(text)(c, r)
+				if framing != "" {
+					_, err := r.ReadByte()
+					closed <- err
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			answer, body, err := newClient(t).Fetch(ctx, address, getRequest, 1000)
+			if ctx.Err() != nil {
+				t.Errorf("%s, %q: the client waits for more", name, framing)
+			}
+			if err == nil {
+				t.Errorf("%s, %q: was taken as status %d with %v and body %q", name, framing, answer.Status, answer.Fields, body)
+				continue
+			}
+			if framing == "" {
+				continue
+			}
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Errorf("%s: the connection is kept", name)
+			}
+		}
+	}
+}
