httphead: an answer with a status of 600 or above is none

Callers got 600 and 999 passed on as they are (statuses are 100 to 599: RFC 9110, 15), except from services without engines whose requests may be repeated. Same cause as status 000: the parser accepts any three digits, and the check looked for those below 100 only.

Before: TestInvalidHeadIsNoAnswer failed with 600 and 999 in upstream, gate, jsonhttp and platform (orders, streams of plain services that may not be repeated, both model routes), FuzzReadFinal with their seeds; a stream that breaks off was not continued by such an answer already. After: all pass.

--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -116,7 +116,7 @@
 	_, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.Atoi(string(code))
-	if err != nil || len(code) != 3 || status < 100 {
+	if err != nil || len(code) != 3 || status < 100 || status > 599 {
 		return 0, newInvalidError("status line", line)
 	}
 	return status, nil
--- a/pkg/httphead/httphead_test.go
+++ b/pkg/httphead/httphead_test.go
@@ -115,7 +115,7 @@
 		if rest, _ := io.ReadAll(r); len(data)-len(rest) != size {
 			t.Errorf("the check took %d bytes for the head, the parser %d", size, len(data)-len(rest))
 		}
-		if head.StatusCode() < 100 {
+		if head.StatusCode() < 100 || head.StatusCode() > 599 {
 			t.Errorf("status %d was accepted", head.StatusCode())
 		}
 		for name := range head.All() {
--- a/pkg/standin/badhead/badhead.go
+++ b/pkg/standin/badhead/badhead.go
@@ -21,8 +21,8 @@
 	"no colon":                        "X-Odd",
 }
 
-// statuses are status codes below 100 (RFC 9110, 15).
-var statuses = []string{"000", "007", "099"}
+// statuses are status codes outside of 100 to 599 (RFC 9110, 15).
+var statuses = []string{"000", "007", "099", "600", "999"}
 
 const (
 	soundInterim = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
