orders: check the head of the answer to an order

An order to an engine or to the platform counted as executed if its answer had an invalid field name or the status 000, and as refused if the status was 001 to 099.

Change: httphead.ReadAnswer, the former readAnswer of the gate, reads a complete answer for both. The outcome of such an order is unknown, as after a connection that breaks off.

--- a/pkg/gate/serviceclient.go
+++ b/pkg/gate/serviceclient.go
@@ -152,7 +152,7 @@
 	if err := writeRequest(conn, req); err != nil {
 		return ServiceAnswer{}, errors.Wrap(err, "write request")
 	}
-	if err := readAnswer(bufio.NewReader(conn), resp, request.Method); err != nil {
+	if err := httphead.ReadAnswer(bufio.NewReader(conn), resp, request.Method, serviceMaxAnswerBytes); err != nil {
 		return ServiceAnswer{}, errors.Wrap(err, "read answer")
 	}
 	if brokenEventStream(&resp.Header, resp.Body()) {
@@ -178,25 +178,6 @@
 	return w.Flush()
 }
 
-// readAnswer reads the complete answer to a request with the method.
-func readAnswer(r *bufio.Reader, resp *fasthttp.Response, method string) error {
-	if err := httphead.ReadFinal(r, &resp.Header); err != nil {
-		return err
-	}
-	status := resp.StatusCode()
-	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil
-	}
-	chunked := resp.Header.ContentLength() == -1
-	if err := resp.ReadBody(r, serviceMaxAnswerBytes); err != nil || !chunked {
-		return err
-	}
-	if err := resp.Header.ReadTrailer(r); err != nil {
-		return errors.Wrap(err, "read trailer")
-	}
-	return nil
-}
-
 // brokenEventStream reports whether a body is a stream of server-sent events that does not
 // end with an empty line: the service failed inside an event, and the framing of the
 // answer need not show it.
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -1,4 +1,4 @@
-// Package httphead reads and checks the heads of HTTP/1.1 answers.
+// Package httphead reads HTTP/1.1 answers and checks their heads.
 package httphead
 
 import (
@@ -59,6 +59,24 @@
 	return ErrTooManyInterim
 }
 
+// ReadAnswer reads the complete final answer to a request with the method. The cause is an
+// *InvalidError as in ReadFinal, or fasthttp.ErrBodyTooLarge if the body has more than maxBody
+// bytes; zero means no bound.
+func ReadAnswer(r *bufio.Reader, answer *fasthttp.Response, method string, maxBody int) error {
+	if err := ReadFinal(r, &answer.Header); err != nil {
+		return err
+	}
+	status := answer.StatusCode()
+	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	chunked := answer.Header.ContentLength() == -1
+	if err := answer.ReadBody(r, maxBody); err != nil || !chunked {
+		return err
+	}
+	return errors.Wrap(answer.Header.ReadTrailer(r), "read trailer")
+}
+
 // Check waits for the whole next head, which stays in r, and returns its status and its size
 // in bytes, with the empty lines before it. The cause is an *InvalidError if the status or
 // the name of a field is not valid: the parser of fasthttp takes 000 as 200, and a name with
--- a/pkg/orders/httpconn.go
+++ b/pkg/orders/httpconn.go
@@ -16,6 +16,7 @@
 	"github.com/clementineshed/clementineshed/pkg/connstate"
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
 	"github.com/clementineshed/clementineshed/pkg/enginewire"
+	"github.com/clementineshed/clementineshed/pkg/httphead"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/steperr"
 )
@@ -159,7 +160,7 @@
 	if err := l.w.Flush(); err != nil {
 		return err
 	}
-	if err := resp.Read(l.r); err != nil {
+	if err := httphead.ReadAnswer(l.r, resp, method, 0); err != nil {
 		return err
 	}
 	if code := resp.StatusCode(); code < 200 || code > 299 {
--- a/pkg/orders/reuse_test.go
+++ b/pkg/orders/reuse_test.go
@@ -7,6 +7,10 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
 // TestAnswerToAnEarlierOrderIsNotUsed guards against an answer that a receiver writes once
@@ -56,3 +60,33 @@
 		}
 	}
 }
+
+// TestInvalidHeadIsNoAnswer guards against an order that counts as executed or as refused
+// because of an answer whose head has an invalid field name or status.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	for name, text := range badhead.Answers("Content-Type: application/json\r\n", "{}") {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, text)
+		}()
+		conn, err := Dial(t.Context(), l.Addr().String(), "h", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var refused *RefusedError
+		if err := conn.Post(t.Context(), "/", struct{}{}); err == nil || errors.As(err, &refused) {
+			t.Errorf("%s: got %v, want an unknown outcome", name, err)
+		}
+		conn.Close()
+	}
+}
