relay: a log line names what is invalid in the head of an answer

The failure counts against the endpoint as a bad answer already; the test keeps that. Before: TestEndpointWithInvalidHeadsIsEjected failed (no line names the field). After: it passes three times.

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementineshed/clementineshed/pkg/descriptors"
 	"github.com/clementineshed/clementineshed/pkg/fleet"
+	"github.com/clementineshed/clementineshed/pkg/httphead"
 	"github.com/clementineshed/clementineshed/pkg/jsonhttp"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/pace"
@@ -189,6 +190,10 @@
 	if x.workCtx.Err() != nil {
 		return
 	}
+	var invalid *httphead.InvalidError
+	if errors.As(err, &invalid) {
+		h.Log.WithFields(log.Fields{"endpoint": m.ID, "service": m.Service, "request": x.call.ID}).WithError(err).Warn("answer_head_invalid")
+	}
 	now := time.Now()
 	kind := outlier.BadAnswer
 	switch {
