badhead, httphead: plainer names, whitespace by its usual word

The test through the host fails if the stand-in has no answer of the name it asks for; a wrong name would have passed as a closed connection. No behaviour changes.

--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -79,9 +79,9 @@
 
 // Check waits for the whole next head, which stays in r, and returns its status and its size
 // in bytes, with the empty lines before it. The cause is an *InvalidError if the status or
-// the name of a field is not valid: the parser of fasthttp takes 000 as 200, and a name with
-// blanks in it or after it as one without the latter. Check leaves all other faults to it. The
-// error is io.EOF if r ends before the head begins.
+// the name of a field is not valid: the parser of fasthttp takes the status 000 as 200, accepts
+// spaces in names and removes those before the colon. Check leaves all other faults to the
+// parser. The error is io.EOF if r ends before the head begins.
 func Check(r *bufio.Reader) (status, size int, err error) {
 	for {
 		line, err := peekLine(r, size)
@@ -140,7 +140,7 @@
 	return status, nil
 }
 
-// checkField checks the name of the field in a line. A line that begins with a blank would
+// checkField checks the name of the field in a line. A line that begins with whitespace would
 // continue the value of the field before it, which RFC 9112, 5.2 lets a proxy refuse.
 func checkField(line []byte) error {
 	name, _, colon := bytes.Cut(line, []byte(":"))
--- a/pkg/standin/badhead/badhead.go
+++ b/pkg/standin/badhead/badhead.go
@@ -4,11 +4,11 @@
 
 // fieldLines are lines of a head that are not fields, by what is wrong with them.
 var fieldLines = map[string]string{
-	"blank in a name":                 "X Odd: 1",
-	"blank after a name":              "X-Odd : 1",
-	"blank after Content-Length":      "Content-Length : 1",
-	"blank after Transfer-Encoding":   "Transfer-Encoding : chunked",
-	"blank before a name":             " X-Odd: 1",
+	"space in a name":                 "X Odd: 1",
+	"space after a name":              "X-Odd : 1",
+	"space after Content-Length":      "Content-Length : 1",
+	"space after Transfer-Encoding":   "Transfer-Encoding : chunked",
+	"space before a name":             " X-Odd: 1",
 	"tab in a name":                   "X\tOdd: 1",
 	"tab after a name":                "X-Odd\t: 1",
 	"NUL in a name":                   "X\x00Odd: 1",
@@ -25,8 +25,9 @@
 var statuses = []string{"000", "007", "099", "600", "999"}
 
 const (
-	soundInterim = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
-	soundStatus  = "HTTP/1.1 200 OK\r\n"
+	interimHead = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n"
+	statusLine  = "HTTP/1.1 200 OK\r\n"
+	headEnd     = "\r\n"
 )
 
 // Answers returns the answers by what is wrong with them. Each has the fields, complete
@@ -34,16 +35,15 @@
 func Answers(fields, body string) map[string]string {
 	answers := map[string]string{}
 	for name, line := range fieldLines {
-		invalid := soundStatus + fields + line + "\r\n\r\n" + body
-		answers[name] = invalid
-		answers[name+", after an interim answer"] = soundInterim + invalid
-		answers[name+", in an interim answer"] = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n" + line + "\r\n\r\n" +
-			soundStatus + fields + "\r\n" + body
+		line += "\r\n"
+		answers[name] = statusLine + fields + line + headEnd + body
+		answers[name+", after an interim answer"] = interimHead + headEnd + statusLine + fields + line + headEnd + body
+		answers[name+", in an interim answer"] = interimHead + line + headEnd + statusLine + fields + headEnd + body
 	}
 	for _, status := range statuses {
-		invalid := "HTTP/1.1 " + status + " Unknown\r\n" + fields + "\r\n" + body
-		answers["status "+status] = invalid
-		answers["status "+status+", after an interim answer"] = soundInterim + invalid
+		answer := "HTTP/1.1 " + status + " Unknown\r\n" + fields + headEnd + body
+		answers["status "+status] = answer
+		answers["status "+status+", after an interim answer"] = interimHead + headEnd + answer
 	}
 	return answers
 }
