--- a/pkg/httphead/httphead_test.go
+++ b/pkg/httphead/httphead_test.go
@@ -17,8 +17,25 @@
 	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
-// TestInvalidHead guards against an answer whose head has an invalid field name or status,
-// such as 000, which the parser takes as 200.
+// TestStatusBelow100IsNoAnswer guards against an answer with the status 000, which the
+// parser takes as 200, or with another one that HTTP does not know.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099"} {
+		for _, before := range []string{"", "\r\n", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			text := before + "HTTP/1.1 " + status + " Unknown\r\nContent-Length: 2\r\n\r\nok"
+			for _, r := range []*bufio.Reader{bufio.NewReader(strings.NewReader(text)), bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))} {
+				var head fasthttp.ResponseHeader
+				var invalid *InvalidError
+				if err := ReadFinal(r, &head); !errors.As(err, &invalid) || invalid.Part != "status line" {
+					t.Errorf("%q: got status %d, %v", text, head.StatusCode(), err)
+				}
+			}
+		}
+	}
+}
+
+// TestInvalidHead guards against an answer whose head, or that of an interim answer before
+// it, has an invalid field name or status.
 func TestInvalidHead(t *testing.T) {
 	for name, text := range badhead.Answers("Content-Type: text/plain\r\n", "ok") {
 		for _, before := range []string{"", "\r\n", "\n\r\n"} {
@@ -33,8 +50,8 @@
 	}
 }
 
-// TestInvalidErrorNamesTheField guards against a log that does not show which field of which
-// bytes was refused, or that an endpoint can fill.
+// TestInvalidErrorNamesTheField guards against an error that does not name the field, or that
+// grows with what an endpoint sends.
 func TestInvalidErrorNamesTheField(t *testing.T) {
 	for name, want := range map[string]string{
 		"X\x00 Odd":                 `"X\x00 Odd"`,
