--- a/pkg/orders/reuse_test.go
+++ b/pkg/orders/reuse_test.go
@@ -13,22 +13,31 @@
 	"github.com/clementineshed/clementineshed/pkg/standin/badhead"
 )
 
+// startReceiver starts a receiver that runs serve on its first connection and then closes
+// it, and returns its address.
+func startReceiver(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		serve(c, bufio.NewReader(c))
+	}()
+	return l.Addr().String()
+}
+
 // TestAnswerToAnEarlierOrderIsNotUsed guards against an answer that a receiver writes once
 // more and that is taken as the answer to the next order on the connection.
 func TestAnswerToAnEarlierOrderIsNotUsed(t *testing.T) {
 	for _, late := range []bool{false, true} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			r := bufio.NewReader(c)
+		address := startReceiver(t, func(c net.Conn, r *bufio.Reader) {
 			for {
 				req, err := http.ReadRequest(r)
 				if err != nil {
@@ -45,8 +54,8 @@
 					_, _ = io.WriteString(c, answer)
 				}
 			}
-		}()
-		conn, err := Dial(t.Context(), l.Addr().String(), "", nil)
+		})
+		conn, err := Dial(t.Context(), address, "", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -65,21 +74,11 @@
 // because of an answer whose head has an invalid field name or status.
 func TestInvalidHeadIsNoAnswer(t *testing.T) {
 	for name, text := range badhead.Answers("Content-Type: application/json\r\n", "{}") {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			_, _ = http.ReadRequest(bufio.NewReader(c))
+		address := startReceiver(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
 			_, _ = io.WriteString(c, text)
-		}()
-		conn, err := Dial(t.Context(), l.Addr().String(), "h", nil)
+		})
+		conn, err := Dial(t.Context(), address, "h", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
