--- a/pkg/engineclient/answers_test.go
+++ b/pkg/engineclient/answers_test.go
@@ -256,17 +256,19 @@
 	}
 }
 
-// generateOnce opens a stream at an engine that answers with the head and one last event,
-// and returns the first error.
+// lastEvent is the last event of the stream r-1.
+const lastEvent = "data: {\"request_id\":\"r-1\",\"done\":true}\n\n"
+
+// generateOnce opens the stream r-1 at an engine that answers with the status line and
+// lastEvent, and returns the first error.
 func generateOnce(t *testing.T, statusLine string) error {
 	t.Helper()
-	event := "data: {\"request_id\":\"r-1\",\"done\":true}\n\n"
-	return generateAtOnce(t, fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, len(event), event))
+	return generateFrom(t, fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, len(lastEvent), lastEvent))
 }
 
-// generateAtOnce opens the stream r-1 at an engine that sends the answer, and returns the
-// first error.
-func generateAtOnce(t *testing.T, answer string) error {
+// generateFrom opens the stream r-1 at an engine that sends the bytes of answer, and returns
+// the first error.
+func generateFrom(t *testing.T, answer string) error {
 	t.Helper()
 	address := startEngine(t, func(c net.Conn, _ int, _ string) bool {
 		_, _ = io.WriteString(c, answer)
@@ -319,10 +321,9 @@
 // TestInvalidHeadIsNoStream guards against a stream whose head has an invalid field name or
 // status.
 func TestInvalidHeadIsNoStream(t *testing.T) {
-	event := "data: {\"request_id\":\"r-1\",\"done\":true}\n\n"
-	for name, text := range badhead.Answers("", event) {
+	for name, text := range badhead.Answers("", lastEvent) {
 		var broken *BrokenError
-		if err := generateAtOnce(t, text); !errors.As(err, &broken) {
+		if err := generateFrom(t, text); !errors.As(err, &broken) {
 			t.Errorf("%s: got %v, want a broken answer", name, err)
 		}
 	}
--- a/pkg/httphead/httphead_test.go
+++ b/pkg/httphead/httphead_test.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// TestReadFinal guards against heads that are read wrongly because of the check of their
-// status, and against interim answers without end.
+// TestReadFinal guards against heads that are read wrongly because of their check, and
+// against interim answers without end.
 func TestReadFinal(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
 	cases := map[string]int{
--- a/pkg/jsonhttp/reuse.go
+++ b/pkg/jsonhttp/reuse.go
@@ -61,8 +61,8 @@
 	return n, err
 }
 
-// checkHead checks the next head unless there is none, or the last one has not been
-// returned to its end.
+// checkHead checks the next head, unless the final one has been checked or an interim one
+// has not been returned to its end.
 func (c *reusableConn) checkHead() error {
 	if c.headChecked || c.headBytes > 0 {
 		return nil
