--- a/pkg/keyedlog/keyedlog.go
+++ b/pkg/keyedlog/keyedlog.go
@@ -51,10 +51,12 @@
 }
 
 // Page is the result of a read. Next is the offset at which to continue, End
-// the end of the topic at the time of the read.
+// the end of the topic at the time of the read. Era is the era of the store, see
+// logservice.Eras; zero if it states none.
 type Page struct {
 	Records   []Record
 	Next, End int64
+	Era       int64
 }
 
 // ErrUnavailable reports that the store was reached and stated that it is unavailable.
--- a/pkg/logservice/logservice.go
+++ b/pkg/logservice/logservice.go
@@ -56,6 +56,9 @@
 	// End is the offset of the next append to the stream, as far as the
 	// answering replica knows.
 	End int64 `json:"end"`
+	// Era is the era of the log in which the page was read, see Eras; zero if the
+	// service states none.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Client reads and appends records. Implementations are safe for concurrent
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -68,8 +68,9 @@
 	// LogService gives access to the streams for leases and usage.
 	LogService logservice.Client
 	Platform   Platform
-	// StoreCalls counts the calls to the store by their name.
+	// StoreCalls counts the calls to the store by their name, StoreEras its eras.
 	StoreCalls *expvar.Map
+	StoreEras  *logservice.Eras
 }
 
 // Host is an entry host. Run must be called only once.
@@ -327,7 +328,7 @@
 
 func (h *Host) logState() {
 	fields := log.Fields{"ready": h.ready(), "leads": h.leads(), "hosts_heard": h.liveHosts(), "hosts_known": h.knownHosts(),
-		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight(), "memory_held": h.memory.Stats().Held}
+		"endpoints": h.fleet.Len(), "in_flight": h.handler.InFlight(), "store_era": h.adapter.StoreEras.Stats().Newest, "memory_held": h.memory.Stats().Held}
 	h.addQuotaState(fields)
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) { fields["store"+strings.ReplaceAll(kv.Key, "/", "_")] = kv.Value.String() })
 	h.log.WithFields(fields).Info("host_state")
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -46,6 +46,10 @@
 	h.adapter.StoreCalls.Do(func(kv expvar.KeyValue) {
 		line("store_calls{call="+strconv.Quote(kv.Key)+"}", kv.Value)
 	})
+	eras := h.adapter.StoreEras.Stats()
+	line("store_era", eras.Newest)
+	line("store_era_changes", eras.Risen)
+	line("store_answers_without_era", eras.Invalid)
 	h.quotaMetricsLines(line)
 	h.metrics.Ejections.Do(func(kv expvar.KeyValue) {
 		line("endpoints_ejected{kind="+strconv.Quote(kv.Key)+"}", kv.Value)
