endpoint, relay, platform: keep the software version of endpoints and the attempt that a caller resumes

The announcement's software version was decoded and dropped, and Resumes was not read, so that no line told whether the parts of a stream came from two versions. Both are kept and logged now; nothing acts on them yet.

--- a/pkg/endpoint/types.go
+++ b/pkg/endpoint/types.go
@@ -44,6 +44,10 @@
 	// LeaveAtMillis is when a leaving endpoint is removed, in Unix milliseconds;
 	// zero if unknown.
 	LeaveAtMillis int64 `json:"leave_at_ms,omitempty"`
+	// SoftwareVersion is that of the endpoint's software, not of model weights. What two
+	// versions write of one answer, and their KV cache, do not fit together. Empty if it
+	// is not known.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// ChecksFencing says that the endpoint refuses orders with a fencing token
 	// lower than the highest it has seen.
 	ChecksFencing bool `json:"checks_fencing"`
--- a/pkg/relay/codec.go
+++ b/pkg/relay/codec.go
@@ -24,6 +24,9 @@
 	Prompt *Prompt
 	// LastEventID is set when the caller resumes a stream.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream; empty if the caller does not state it.
+	Resumes string
 	// Fields are the end-to-end fields without those that only the system sets.
 	Fields upstream.Fields
 	// Body may refer to the server's buffer until the answer has been written.
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -275,6 +275,7 @@
 	g.h.OnSent(g.x.service, sent)
 	limit := 2*c.Expected() + prefillSlack
 	g.x.logFields["prefill_at"], g.x.logFields["uncached"], g.x.logFields["copied"] = c.Engine.ID, c.Uncached, c.Copied
+	g.x.logFields["prefill_software"] = c.Engine.SoftwareVersion
 	id, err := g.sendPrefill(c, limit)
 	done := time.Now()
 	g.x.logFields["prefill_ms"], g.x.logFields["prefill_expected_ms"] = done.Sub(now).Milliseconds(), c.Expected().Milliseconds()
@@ -429,6 +430,7 @@
 	g.h.OnSent(g.x.service, sent)
 	opts.HasPriority, opts.Priority, opts.LastEventID = true, g.priority(), g.x.lastDelivered
 	g.x.logFields["decode_at"], g.x.logFields["decode_expected_ms"] = c.Engine.ID, c.Decoding.Milliseconds()
+	g.x.logFields["decode_software"] = c.Engine.SoftwareVersion
 	var limit headLimit
 	if g.x.route.MayRepeat() && g.x.attempts+1 < g.x.route.MaxAttempts {
 		limit = headLimit{c.Expected() + stallTimeout, g.silentDecode(c.Engine, g.x.attempts+1)}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -209,6 +209,9 @@
 	}
 	x.call = call
 	x.lastDelivered = call.LastEventID
+	if x.lastDelivered != "" {
+		x.logFields["resumes"], x.logFields["resumes_after"] = call.Resumes, call.LastEventID
+	}
 	x.route, err = table.Match(call.Host, call.Path)
 	if err != nil {
 		return refusal.NotRun(404, refusal.CodeNotFound, "no route matches the request").WithCause(err)
--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -273,7 +273,7 @@
 	}
 	h.limitStarted(member, change)
 	h.log.WithFields(log.Fields{"endpoint": member.ID, "service": member.Service, "change": string(change),
-		"state": string(member.State), "role": string(member.Role), "offset": a.offset}).Info("endpoint_changed")
+		"state": string(member.State), "role": string(member.Role), "software": member.SoftwareVersion, "offset": a.offset}).Info("endpoint_changed")
 }
 
 // endpointGone logs that an endpoint has left and drops its outlier state.
