usage: a log line for each report that the platform accepts

Two reports for one window could not be traced to two close records of the window: nothing said under which record, fencing token and era a report was sent. usage_reported states them, with the total of the requests.

--- a/pkg/logservice/logservice.go
+++ b/pkg/logservice/logservice.go
@@ -46,6 +46,8 @@
 	// is for reports and retention only and does not order records.
 	TimeMillis int64  `json:"time_ms"`
 	Data       []byte `json:"data"`
+	// Era is that of the page in which a Tail has read the record.
+	Era int64 `json:"-"`
 }
 
 // Page is the answer to a read.
--- a/pkg/logservice/tail.go
+++ b/pkg/logservice/tail.go
@@ -363,6 +363,7 @@
 		if r.Offset > next {
 			return errors.Wrapf(errGap, "expected %d, got %d", next, r.Offset)
 		}
+		r.Era = page.Era
 		e, _ := DecodeEntry(r.Data)
 		t.opts.Fold(r, e)
 		next++
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -38,11 +38,13 @@
 type closedWindow struct {
 	figures  map[string]Counts
 	reported bool
+	// offset and era are those of the accepted close record.
+	offset, era int64
 }
 
 type foldedClose struct {
-	offset int64
-	rec    closeRecord
+	offset, era int64
+	rec         closeRecord
 }
 
 type source struct {
@@ -122,7 +124,7 @@
 	case kindClose:
 		var rec closeRecord
 		if json.Unmarshal(e.Body, &rec) == nil {
-			f.foldClose(foldedClose{r.Offset, rec}, now)
+			f.foldClose(foldedClose{offset: r.Offset, era: r.Era, rec: rec}, now)
 		}
 	case kindReported:
 		var rec reportedRecord
@@ -255,7 +257,7 @@
 		}
 	}
 	f.recent = rest
-	f.closed[rec.Window] = &closedWindow{figures: rec.Figures}
+	f.closed[rec.Window] = &closedWindow{figures: rec.Figures, offset: it.offset, era: it.era}
 	f.lastClosed, f.lastCloseOffset = rec.Window, it.offset
 	f.prune()
 }
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -283,8 +283,8 @@
 // receivers returns one receiver for each report of a window.
 func (r *Reporter) receivers(window int64) []orders.Receiver {
 	if r.opts.WindowInterface != nil {
-		if report, ok := r.windowReport(window); ok {
-			return []orders.Receiver{windowReceiver{windows: r.opts.WindowInterface, report: report}}
+		if receiver, ok := r.windowReceiverOf(window); ok {
+			return []orders.Receiver{receiver}
 		}
 		return nil
 	}
--- a/pkg/usage/windows.go
+++ b/pkg/usage/windows.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/apex/log"
+
 	"github.com/clementineshed/clementineshed/pkg/orders"
 )
 
@@ -25,16 +27,23 @@
 	ChecksFencing() bool
 }
 
-// windowReport returns the report of a closed window, or false if another process
-// has reported the window in the meantime.
-func (r *Reporter) windowReport(window int64) (WindowReport, bool) {
+// windowReceiverOf returns the receiver of the report of a closed window, or false if
+// another process has reported the window in the meantime.
+func (r *Reporter) windowReceiverOf(window int64) (windowReceiver, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	closed := r.fold.closed[window]
 	if closed == nil {
-		return WindowReport{}, false
+		return windowReceiver{}, false
+	}
+	accepted := func(sent WindowReport) {
+		total := Counts{}
+		for _, counts := range sent.Teams {
+			total = total.plus(counts)
+		}
+		r.opts.Log.WithFields(log.Fields{"window": window, "fence": sent.Fence, "close_offset": closed.offset, "close_era": closed.era, "teams": len(sent.Teams), "requests": total.Requests}).Info("usage_reported")
 	}
-	return WindowReport{Window: window, Teams: closed.figures}, true
+	return windowReceiver{windows: r.opts.WindowInterface, report: WindowReport{Window: window, Teams: closed.figures}, accepted: accepted}, true
 }
 
 // windowReceiver is an orders.Receiver that sends one report to a WindowInterface.
@@ -42,6 +51,8 @@
 type windowReceiver struct {
 	windows WindowInterface
 	report  WindowReport
+	// accepted is called with the report that the interface has accepted.
+	accepted func(sent WindowReport)
 }
 
 func (w windowReceiver) Name() string                             { return "usage interface" }
@@ -58,10 +69,7 @@
 	return windowConn(w), nil
 }
 
-type windowConn struct {
-	windows WindowInterface
-	report  WindowReport
-}
+type windowConn windowReceiver
 
 func (c windowConn) Instances() (connected, wanted string) { return "", "" }
 func (c windowConn) Close()                                {}
@@ -69,5 +77,9 @@
 // Send sends the report, which does not include the order's ID.
 func (c windowConn) Send(ctx context.Context, _, holder string, fence int64) error {
 	c.report.Holder, c.report.Fence = holder, fence
-	return c.windows.SendWindow(ctx, c.report)
+	err := c.windows.SendWindow(ctx, c.report)
+	if err == nil {
+		c.accepted(c.report)
+	}
+	return err
 }
