logservice, standin: the log service can be restored from an older copy

None of the stand-ins of the log service could lose an acknowledged record, as the platform's store does when it comes back from an older copy. Memory.Restore, and the fault restore_ms of the stand-in process, drop the records younger than the copy, give their offsets out again, raise the era that pages and refused reads state, and answer 410 to reads from beyond the end. The era of a 410 of the platform's store is passed on too.

--- a/pkg/logservice/http.go
+++ b/pkg/logservice/http.go
@@ -26,6 +26,7 @@
 // truncated offset.
 type TruncatedAnswer struct {
 	Oldest int64 `json:"oldest"`
+	Era    int64 `json:"era,omitempty"`
 }
 
 // HTTPClient is a Client for the service's HTTP protocol, see docs/platform.md.
@@ -85,7 +86,7 @@
 	if errors.As(err, &status) && status.Status == http.StatusGone {
 		var truncated TruncatedAnswer
 		if json.Unmarshal(status.Body, &truncated) == nil {
-			return Page{}, &TruncatedError{Oldest: truncated.Oldest}
+			return Page{}, &TruncatedError{Oldest: truncated.Oldest, Era: truncated.Era}
 		}
 	}
 	return Page{}, &outcomeError{outcome: ErrUnavailable, cause: err}
--- a/pkg/logservice/logservice.go
+++ b/pkg/logservice/logservice.go
@@ -27,16 +27,19 @@
 	ErrUnavailable = errors.New("log service is unavailable")
 )
 
-// TruncatedError reports a read from an offset whose record the retention has
-// dropped.
+// TruncatedError reports a read from an offset that the service does not have: its
+// record has been dropped by the retention or, if Oldest is not beyond the offset, was
+// lost when the service came back from an older copy.
 type TruncatedError struct {
 	// Oldest is the oldest offset that can still be read.
 	Oldest int64
+	// Era is the era of the answer, see Page.Era.
+	Era int64
 }
 
 // Error implements the error interface.
 func (e *TruncatedError) Error() string {
-	return fmt.Sprintf("offset is past the retention; the oldest offset is %d", e.Oldest)
+	return fmt.Sprintf("the service does not have the offset; its oldest is %d, its era %d", e.Oldest, e.Era)
 }
 
 // Record is one record of a stream.
--- a/pkg/logservice/memory.go
+++ b/pkg/logservice/memory.go
@@ -14,8 +14,9 @@
 	clock clockwork.Clock
 
 	mu sync.Mutex
-	// streams is guarded by mu.
+	// streams and era are guarded by mu. era is zero if the log states none.
 	streams map[string]*memoryStream
+	era     int64
 }
 
 type memoryStream struct {
@@ -61,8 +62,12 @@
 // Read implements Client.
 func (m *Memory) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Page, error) {
 	timeout := m.clock.After(wait)
-	for {
+	for first := true; ; first = false {
 		page, appended, err := m.readNow(stream, from, limit)
+		if !first && err == nil && len(page.Records) == 0 {
+			// The copy of a restore ends here: the reader learns of the new era.
+			return page, nil
+		}
 		if err != nil || len(page.Records) > 0 || wait <= 0 {
 			return page, err
 		}
@@ -80,10 +85,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(stream)
-	if from < s.oldest {
-		return Page{}, nil, &TruncatedError{Oldest: s.oldest}
+	if from < s.oldest || from > s.end() {
+		return Page{}, nil, &TruncatedError{Oldest: s.oldest, Era: m.era}
 	}
-	page := Page{Oldest: s.oldest, End: s.end()}
+	page := Page{Oldest: s.oldest, End: s.end(), Era: m.era}
 	if from < s.end() {
 		start := int(from - s.oldest)
 		stop := min(start+limit, len(s.records))
--- a/pkg/standin/logd/doc.go
+++ b/pkg/standin/logd/doc.go
@@ -9,7 +9,8 @@
 // request that was answered with 4xx has no effect.
 //
 // Faults: outage, slowness, an answer lost after the append took effect, an
-// append that takes effect after its connection was closed, and reads that lag
-// behind. The handler of a long poll whose caller disappeared runs until the
-// requested wait time ends.
+// append that takes effect after its connection was closed, reads that lag
+// behind, and a return from an older copy of all streams in a new era. The
+// handler of a long poll whose caller disappeared runs until the requested wait
+// time ends.
 package logd
--- a/pkg/standin/logd/read.go
+++ b/pkg/standin/logd/read.go
@@ -37,7 +37,7 @@
 	var truncated *logservice.TruncatedError
 	switch {
 	case errors.As(err, &truncated):
-		httpd.WriteJSON(ctx, fasthttp.StatusGone, logservice.TruncatedAnswer{Oldest: truncated.Oldest})
+		httpd.WriteJSON(ctx, fasthttp.StatusGone, logservice.TruncatedAnswer{Oldest: truncated.Oldest, Era: truncated.Era})
 	case err != nil:
 		httpd.WriteError(ctx, fasthttp.StatusServiceUnavailable, httpd.CodeUnavailable, err.Error())
 	default:
--- a/pkg/standin/logd/server.go
+++ b/pkg/standin/logd/server.go
@@ -45,6 +45,9 @@
 	// -1 delays all appends.
 	DelayAppends int   `json:"delay_appends,omitempty"`
 	DelayMillis  int64 `json:"delay_ms,omitempty"`
+	// RestoreMillis, if set, replaces all streams at once by their copy of this age:
+	// younger records are lost, their offsets are given out again, and the era rises.
+	RestoreMillis int64 `json:"restore_ms,omitempty"`
 	// ReadLagMillis hides records younger than this from reads.
 	ReadLagMillis int64 `json:"read_lag_ms,omitempty"`
 }
@@ -82,6 +85,7 @@
 		limiter: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), burst),
 		faults:  httpd.NewFaultInjector(opts.Clock),
 	}
+	s.store.SetEra(1)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.http = httpd.New("log", opts.Log, s.handle)
 	return s
@@ -115,6 +119,10 @@
 
 // SetFaults replaces the current faults.
 func (s *Server) SetFaults(f Faults) {
+	if f.RestoreMillis > 0 {
+		s.store.Restore(time.Duration(f.RestoreMillis) * time.Millisecond)
+		f.RestoreMillis = 0
+	}
 	s.faults.Set(f.Faults)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/standin/logd/server_test.go
+++ b/pkg/standin/logd/server_test.go
@@ -157,3 +157,41 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a stand-in that keeps records younger than the copy it is restored from,
+// skips their offsets, or doesn't state the new era in pages and in refused reads.
+func TestRestoreLosesRecordsAndRaisesTheEra(t *testing.T) {
+	s, c := startServer(t, Options{})
+	ctx := context.Background()
+	for _, data := range []string{"kept", "lost", "lost too"} {
+		if _, err := appendOne(c, data); err != nil {
+			t.Fatal(err)
+		}
+		if data == "kept" {
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	poll := make(chan logservice.Page, 1)
+	go func() {
+		page, _ := c.Read(ctx, "other", 0, 10, 5*time.Second)
+		poll <- page
+	}()
+	s.SetFaults(Faults{RestoreMillis: 200})
+	var truncated *logservice.TruncatedError
+	if _, err := c.Read(ctx, "lease", 3, 10, 0); !errors.As(err, &truncated) || *truncated != (logservice.TruncatedError{Oldest: 0, Era: 2}) {
+		t.Errorf("read beyond the end: %v", err)
+	}
+	if first, err := appendOne(c, "new"); err != nil || first != 1 {
+		t.Errorf("first append after the restore at offset %d, %v; want 1", first, err)
+	}
+	page, err := c.Read(ctx, "lease", 0, 10, 0)
+	if err != nil || len(page.Records) != 2 || string(page.Records[1].Data) != "new" || page.Era != 2 {
+		t.Errorf("page %+v, %v; want two records, the second new, in era 2", page, err)
+	}
+	if s.Faults().RestoreMillis != 0 {
+		t.Error("the restore is still in force")
+	}
+	if page := <-poll; page.Era != 2 {
+		t.Errorf("page of a waiting read in era %d", page.Era)
+	}
+}
