logservice: a tail starts again when the log has come back from an older copy

Candidates for the duties skipped records of the lease and usage streams, or read none, after the platform's store had come back from an older copy: the tail took only a 410 whose oldest offset lies beyond its own for a change, and folded the records that got the offsets it was waiting for onto the state of the lost ones. An append that was answered in the new era counted as folded at once.

The era that a page or a 410 states decides now, and a 410 from beyond the end if none is stated: the answer is dropped, the owner is told, and the view starts again at the oldest offset. An answer of an earlier era is read again. Waiting for an own record goes by its ID, as its offset means nothing without its era.

TestTailStartsAgainInANewEra failed before in all five cases, such as 'folded [n3] after the restore, want [a b n1 n2 n3]'; TestAppendOfAnEarlierEraIsNotFolded fails with the wait by offset ('append ended with <nil> before the record was folded'). -race passes for logservice, lease, once and usage.

--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -140,10 +140,7 @@
 	m.beforeAppend(kind)
 	appendCtx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, limit)
 	defer cancel()
-	offset, err := m.batcher.Append(appendCtx, e)
-	if err == nil {
-		err = m.tail.WaitFor(appendCtx, offset)
-	}
+	err = m.batcher.AppendFolded(appendCtx, e)
 	if err != nil && ctx.Err() == nil {
 		m.opts.Log.WithFields(log.Fields{"key": k.String(), "kind": kind, "record": e.ID, "error": err}).Warn("lease_record_not_folded")
 	}
--- a/pkg/logservice/batcher.go
+++ b/pkg/logservice/batcher.go
@@ -90,7 +90,25 @@
 	return max(interval, MinBatchInterval)
 }
 
-// Append appends e with the next batch and returns its offset. If the answer is
+// AppendFolded appends e and waits until the tail has folded it. Its errors are those of
+// Append. An append that was answered before the log came back from an older copy may be
+// lost: its outcome is unknown. The batcher must have a tail.
+func (b *Batcher) AppendFolded(ctx context.Context, e Entry) error {
+	watch := b.opts.Tail.Watch(e.ID)
+	defer watch.Stop()
+	before := b.opts.Tail.Status()
+	offset, err := b.Append(ctx, e)
+	if err != nil {
+		return err
+	}
+	if err := b.opts.Tail.waitFolded(ctx, watch, offset, before); err != nil {
+		return &outcomeError{outcome: ErrOutcomeUnknown, cause: err}
+	}
+	return nil
+}
+
+// Append appends e with the next batch and returns its offset, in the era in which it was
+// appended; the log may lose it when it comes back from an older copy. If the answer is
 // lost, it waits until the record appears in the tail or ctx ends. Errors wrap
 // ErrNotAppended or ErrOutcomeUnknown. After ErrOutcomeUnknown the record may
 // appear at any later time.
--- a/pkg/logservice/logservice.go
+++ b/pkg/logservice/logservice.go
@@ -49,7 +49,7 @@
 	// is for reports and retention only and does not order records.
 	TimeMillis int64  `json:"time_ms"`
 	Data       []byte `json:"data"`
-	// Era is that of the page in which a Tail has read the record.
+	// Era is the era in which a Tail has read the record.
 	Era int64 `json:"-"`
 }
 
--- a/pkg/logservice/tail.go
+++ b/pkg/logservice/tail.go
@@ -35,13 +35,36 @@
 	// is known to be in the stream. A longer read is on a silent connection or was
 	// sent while the log was down.
 	refreshGrace = 400 * time.Millisecond
+	// olderEraTolerance is how long all answers must state an earlier era than the tail has
+	// seen until they count as of that era. An answer on its way from before the log was
+	// restored is younger.
+	olderEraTolerance = 10 * time.Second
 )
 
 // ErrClosed reports a wait that ended because its owner was closed.
 var ErrClosed = errors.New("closed")
 
-// errGap reports a page that does not start at the requested offset.
-var errGap = errors.New("page does not start at the requested offset")
+// ErrRestored reports a wait for a record that may be lost, because the log has come
+// back from an older copy.
+var ErrRestored = errors.New("the log has come back from an older copy")
+
+var (
+	// errGap reports a page that does not start at the requested offset.
+	errGap = errors.New("page does not start at the requested offset")
+	// errOlderEra reports an answer from before the log came back from an older copy.
+	errOlderEra = errors.New("answer of an earlier era")
+)
+
+// EraStart is the point at which a tail begins to read in an era of the log.
+type EraStart struct {
+	// Era is zero if the log states none.
+	Era int64
+	// Restored is set if the tail has read earlier: the log has come back from an older
+	// copy since, and what was folded may be lost. The records from offset Oldest on are
+	// folded again.
+	Restored bool
+	Oldest   int64
+}
 
 // TailOptions configure a Tail.
 type TailOptions struct {
@@ -60,6 +83,9 @@
 	// not including, oldest have been truncated before they were read. The next
 	// record folded is at oldest or later.
 	Truncated func(missing, oldest int64)
+	// EraStarted, if set, is called before the first record of an era is folded, from the
+	// goroutine of Fold. It is not called for the first era if the log states none.
+	EraStarted func(EraStart)
 	ReadOptions
 	// Log receives log lines; they are dropped if it is nil.
 	Log log.Interface
@@ -81,6 +107,11 @@
 type TailStatus struct {
 	// Next is the offset of the next record to fold.
 	Next int64
+	// Era is the era in which the tail reads, zero if the log states none. Restores
+	// counts how often the log has come back from an older copy. Offsets of before then
+	// mean nothing.
+	Era      int64
+	Restores int
 	// ReadToEndAt is the time at which the last read that reached the end of the
 	// stream was sent; zero if there was none.
 	ReadToEndAt time.Time
@@ -111,8 +142,13 @@
 	cancelRead  context.CancelFunc
 	readSentAt  time.Time
 	interrupted bool
-	// lastAnswerAt is the time of the last successful answer.
+	// lastAnswerAt is the time of the last successful answer, hasRead whether any answer
+	// has stated what the log holds.
 	lastAnswerAt time.Time
+	hasRead      bool
+	// olderEraSince is the time of the first of the last answers, all of which stated an
+	// era before that of the tail; zero if the last one did not.
+	olderEraSince time.Time
 
 	// readNow ends the pause between reads that MinInterval sets.
 	readNow chan struct{}
@@ -166,15 +202,39 @@
 // WaitFor waits until the record at offset has been folded or was truncated. The
 // record must be known to be in the stream: the tail reads at once, and restarts
 // a read that does not return the record in time. It fails with the context's
-// error or ErrClosed.
+// error, ErrClosed or ErrRestored.
 func (t *Tail) WaitFor(ctx context.Context, offset int64) error {
+	restores := t.Status().Restores
+	err := t.waitRefreshing(ctx, func(s TailStatus) bool { return s.Next > offset || s.Restores != restores })
+	if err == nil && t.Status().Restores != restores {
+		return ErrRestored
+	}
+	return err
+}
+
+// waitFolded is WaitFor for the record of a watch. Its offset does not show whether it
+// has been folded: it may be of an earlier or a later era than that of the tail.
+func (t *Tail) waitFolded(ctx context.Context, w *Watch, offset int64, before TailStatus) error {
+	truncated := func(s TailStatus) bool { return s.Truncations != before.Truncations && s.Next > offset }
+	err := t.waitRefreshing(ctx, func(s TailStatus) bool {
+		return len(w.found) > 0 || truncated(s) || s.Restores != before.Restores
+	})
+	if err == nil && len(w.found) == 0 && t.Status().Restores != before.Restores {
+		return ErrRestored
+	}
+	return err
+}
+
+// waitRefreshing reads at once, waits until reached, and restarts reads that last too
+// long.
+func (t *Tail) waitRefreshing(ctx context.Context, reached func(TailStatus) bool) error {
 	select {
 	case t.readNow <- struct{}{}:
 	default:
 	}
 	for grace := refreshGrace; ; grace *= 2 {
 		graceCtx, cancel := clockwork.WithTimeout(ctx, t.opts.Clock, grace)
-		err := t.wait(graceCtx, func(s TailStatus) bool { return s.Next > offset })
+		err := t.wait(graceCtx, reached)
 		cancel()
 		if err == nil || errors.Is(err, ErrClosed) {
 			return err
@@ -314,16 +374,81 @@
 	t.beginRead(cancel, sentAt)
 	page, err := t.opts.Client.Read(readCtx, t.opts.Stream, next, pageLimit, wait)
 	var truncated *TruncatedError
-	if errors.As(err, &truncated) && truncated.Oldest > next {
-		t.skipTo(truncated.Oldest)
-		return nil
+	if errors.As(err, &truncated) {
+		return t.handleTruncated(*truncated, next, err)
 	}
 	if err != nil {
 		return err
 	}
+	if restored, err := t.followEra(page.Era, page.Oldest); restored || err != nil {
+		return err
+	}
 	return t.foldPage(page, next, sentAt)
 }
 
+// handleTruncated continues after a read from an offset that the log does not have.
+func (t *Tail) handleTruncated(truncated TruncatedError, next int64, cause error) error {
+	if restored, err := t.followEra(truncated.Era, truncated.Oldest); restored || err != nil {
+		return err
+	}
+	switch {
+	case truncated.Oldest > next:
+		t.skipTo(truncated.Oldest)
+	case truncated.Oldest < next:
+		// The offset is beyond the end of the log.
+		t.restart(EraStart{Era: t.Status().Era, Restored: true, Oldest: truncated.Oldest})
+	default:
+		return cause
+	}
+	return nil
+}
+
+// followEra compares the era of an answer with that of the tail. It reports whether it
+// has restarted the view, so that the answer is to be dropped. An answer without an era
+// counts as of the tail's, and so does one that has stated an earlier era for
+// olderEraTolerance: the highest decides.
+func (t *Tail) followEra(era, oldest int64) (restored bool, err error) {
+	t.mu.Lock()
+	current, hasRead, now := t.status.Era, t.hasRead, t.opts.Clock.Now()
+	t.hasRead = true
+	if era >= current || era == 0 {
+		t.olderEraSince = time.Time{}
+	} else if t.olderEraSince.IsZero() {
+		t.olderEraSince = now
+	}
+	olderFor := now.Sub(t.olderEraSince)
+	t.mu.Unlock()
+	switch {
+	case era == 0 || era == current:
+		return false, nil
+	case era < current && olderFor >= olderEraTolerance:
+		return false, nil
+	case era < current:
+		return false, errors.Wrapf(errOlderEra, "%d instead of %d", era, current)
+	}
+	t.restart(EraStart{Era: era, Restored: hasRead, Oldest: oldest})
+	return hasRead, nil
+}
+
+// restart begins an era.
+func (t *Tail) restart(start EraStart) {
+	t.mu.Lock()
+	before := t.status.Next
+	t.status.Era = start.Era
+	if start.Restored {
+		t.status.Next, t.status.ReadToEndAt = start.Oldest, time.Time{}
+		t.status.Restores++
+		t.notifyStatusChanged()
+	}
+	t.mu.Unlock()
+	if t.opts.EraStarted != nil {
+		t.opts.EraStarted(start)
+	}
+	if start.Restored {
+		t.opts.Log.WithFields(log.Fields{"stream": t.opts.Stream, "era": start.Era, "next": before, "oldest": start.Oldest}).Warn("log_restored")
+	}
+}
+
 // beginRead stores how Refresh can cancel the read that is about to be sent.
 func (t *Tail) beginRead(cancel context.CancelFunc, at time.Time) {
 	t.mu.Lock()
@@ -356,6 +481,7 @@
 
 // foldPage folds the records of a page that was requested at offset next.
 func (t *Tail) foldPage(page Page, next int64, sentAt time.Time) error {
+	era := t.Status().Era
 	for _, r := range page.Records {
 		if r.Offset < next {
 			continue
@@ -363,7 +489,7 @@
 		if r.Offset > next {
 			return errors.Wrapf(errGap, "expected %d, got %d", next, r.Offset)
 		}
-		r.Era = page.Era
+		r.Era = era
 		e, _ := DecodeEntry(r.Data)
 		t.opts.Fold(r, e)
 		next++
--- a/pkg/once/executor.go
+++ b/pkg/once/executor.go
@@ -270,10 +270,7 @@
 	}
 	recordCtx, cancel := clockwork.WithTimeout(ctx, x.opts.Clock, x.opts.RecordTimeout)
 	defer cancel()
-	offset, err := x.batcher.Append(recordCtx, e)
-	if err == nil {
-		err = x.tail.WaitFor(recordCtx, offset)
-	}
+	err = x.batcher.AppendFolded(recordCtx, e)
 	if err == nil || (x.disabled.withdraw && !errors.Is(err, logservice.ErrNotAppended)) {
 		return id, startedAt, nil
 	}
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -194,10 +194,7 @@
 	r.beforeCloseAppend()
 	appendCtx, cancel := clockwork.WithTimeout(ctx, r.opts.Clock, appendTimeout)
 	defer cancel()
-	offset, err := r.batcher.Append(appendCtx, e)
-	if err == nil {
-		err = r.tail.WaitFor(appendCtx, offset)
-	}
+	err := r.batcher.AppendFolded(appendCtx, e)
 	if err != nil && ctx.Err() == nil {
 		r.opts.Log.WithFields(log.Fields{"window": rec.Window, "error": err}).Warn("usage_close_not_folded")
 	}
@@ -273,10 +270,7 @@
 	}
 	appendCtx, cancel := clockwork.WithTimeout(ctx, r.opts.Clock, appendTimeout)
 	defer cancel()
-	offset, err := r.batcher.Append(appendCtx, e)
-	if err == nil {
-		err = r.tail.WaitFor(appendCtx, offset)
-	}
+	err = r.batcher.AppendFolded(appendCtx, e)
 	return steperr.Wrap(err, "record reported window", "log service")
 }
 
