lease: all leases end when the log has come back from an older copy

The platform saw fencing tokens of two holders that were equal, or a lower one after a higher one, after its store had come back from an older copy: the token was the offset of the claim, and the store gives lost offsets out again. A holder whose claim was lost went on to renew it.

Each record now states the era that its writer read in, and counts only in a view of exactly that era. It then was appended in that era: its writer had seen the era, and the view has not seen the next. So the views of one era agree, and the token, era and offset of the claim, is unique and rises with the era. All leases end with an era; the first claim in a new one waits for the lease duration and the margin, because a holder of before may not have read the new era yet, and a host that may have held before waits as after a truncation.

New schedules of TestReceiverSeesOneAuthority restore the log at random.

--- a/pkg/lease/clearance.go
+++ b/pkg/lease/clearance.go
@@ -55,8 +55,8 @@
 		return wait
 	}
 	endedAt, held := l.supersededAt[m.opts.Host]
-	if !held && m.state.start > 0 {
-		// Truncated records may have held an earlier term of this host.
+	if !held && (m.state.start > 0 || m.state.afterEarlierEra) {
+		// Records that are truncated or lost may have held an earlier term of this host.
 		endedAt, held = m.state.startAt, true
 	}
 	if held {
--- a/pkg/lease/doc.go
+++ b/pkg/lease/doc.go
@@ -13,7 +13,9 @@
 //     first. It is extended only when the record has been folded as accepted.
 //   - A challenger claims only after the lease duration plus the margin has
 //     passed since it read the holder's last record.
-//   - The offset of the accepted claim is the fencing token.
+//   - The era and the offset of the accepted claim make the fencing token, which is
+//     unique and rises with each term, across eras too.
+//   - All leases end when the log comes back from an older copy (eras.go).
 //   - Uncleared lists the earlier holders that may still have an order in
 //     transit.
 //   - With Options.OrderLifetime, Check fails until the orders of earlier terms can
--- a/pkg/lease/fold.go
+++ b/pkg/lease/fold.go
@@ -57,10 +57,15 @@
 // concurrent use.
 type streamState struct {
 	leases map[Key]*lease
-	// start is the first offset of the view; records before it are unknown.
-	start    int64
-	startAt  time.Time
-	disabled disabledGuards
+	// start is the first offset of the view; records before it are unknown. startAt is
+	// the local time at which the view began.
+	start   int64
+	startAt time.Time
+	// era is that of the view; zero if the log states none. afterEarlierEra is set if the
+	// log is known to have been in use in an earlier era.
+	era             int64
+	afterEarlierEra bool
+	disabled        disabledGuards
 }
 
 func newStreamState(now time.Time, disabled disabledGuards) *streamState {
@@ -77,6 +82,9 @@
 	l := s.leases[k]
 	if l == nil {
 		l = &lease{known: s.start == 0 || s.disabled.trustTruncated, lastAccepted: none, lastRecord: none, lastAcceptedAt: s.startAt, lastRecordAt: s.startAt}
+		if s.afterEarlierEra {
+			l.predecessors = []Term{{Holder: UnknownHolder}}
+		}
 		s.leases[k] = l
 	}
 	return l
@@ -103,6 +111,15 @@
 		return Key{}, false
 	}
 	l := s.leaseOf(rec.body.Key)
+	if rec.body.Era != r.Era && !s.disabled.noEras {
+		// Also a holder whose software states no era postpones the claims of others.
+		s.noteEarlierEra()
+		l.lastRecordAt = now
+		return rec.body.Key, false
+	}
+	if _, ok := fenceOf(s.era, rec.offset); !ok && e.Kind == kindClaim {
+		return rec.body.Key, false
+	}
 	accepted := s.foldDecoded(l, rec, now)
 	l.lastRecord, l.lastRecordAt = rec.offset, now
 	return rec.body.Key, accepted
@@ -161,7 +178,7 @@
 	l.known, l.held, l.termEnded = true, true, false
 	l.term = rec.body.Term
 	if rec.kind == kindClaim {
-		l.term.Fence = rec.offset
+		l.term.Fence, _ = fenceOf(rec.body.Era, rec.offset)
 	}
 	if !wasHeld || previous.Fence != l.term.Fence {
 		l.beginTerm(previous, wasHeld, now)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -39,6 +39,9 @@
 	maxPauseBeforeAppend time.Duration
 	// truncate drops old records at random steps, and starts a process after each.
 	truncate bool
+	// restore lets the log come back from an older copy at random steps, in a new era. The
+	// records of up to the last half minute are lost.
+	restore bool
 	// faultsOnHostAOnly limits the log faults to host a.
 	faultsOnHostAOnly bool
 	// orderLifetime is Options.OrderLifetime. An order then arrives up to that
@@ -253,7 +256,11 @@
 	for step := range 12 {
 		time.Sleep(time.Duration(sim.random.Int63n(int64(20 * time.Second))))
 		n := sim.random.Intn(len(procs))
-		switch sim.random.Intn(5) {
+		kinds := 5
+		if sim.s.restore {
+			kinds = 7
+		}
+		switch sim.random.Intn(kinds) {
 		case 0: // the process is killed and restarted on its host
 			procs[n].kill()
 			procs[n] = sim.start(procs[n].host)
@@ -275,6 +282,8 @@
 				sim.mem.TruncateOlderThan(time.Now().Add(-time.Duration(sim.random.Int63n(int64(4 * time.Second)))))
 				procs = append(procs, sim.start(fmt.Sprint("late", step)))
 			}
+		case 5, 6:
+			sim.mem.Restore(time.Duration(sim.random.Int63n(int64(30 * time.Second))))
 		}
 	}
 	return procs
@@ -298,6 +307,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		sim.random = rand.New(rand.NewSource(seed))
 		sim.mem = logservice.NewMemory(clockwork.NewRealClock())
+		if s.restore {
+			sim.mem.SetEra(1)
+		}
 		procs := []*process{sim.start("a")}
 		if s.faultsOnHostAOnly {
 			time.Sleep(time.Minute) // host a holds the lease first
@@ -338,6 +350,8 @@
 	bounded   = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, orderLifetime: 4 * time.Second, truncate: true}
 	rolling   = schedule{orderLifetime: 10 * time.Second, rolling: true}
 	turns     = schedule{orderLifetime: 100 * time.Millisecond, rolling: true}
+	restored  = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, orderLifetime: 4 * time.Second, restore: true}
+	restoring = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, orderLifetime: 100 * time.Millisecond, truncate: true, restore: true}
 	both      = schedule{rates: rates, maxPauseBeforeAppend: 20 * time.Second, truncate: true, maxPauseBeforeSend: 90 * time.Second}
 )
 
@@ -345,7 +359,7 @@
 // arrives after one of a later term. It runs every kind of schedule with all
 // guards.
 func TestReceiverSeesOneAuthority(t *testing.T) {
-	for name, s := range map[string]schedule{"timing": timing, "slow": slow, "paused": paused, "truncated": truncated, "bounded": bounded, "rolling": rolling, "turns": turns, "both": both} {
+	for name, s := range map[string]schedule{"timing": timing, "slow": slow, "paused": paused, "truncated": truncated, "bounded": bounded, "rolling": rolling, "turns": turns, "both": both, "restored": restored, "restored and truncated": restoring} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			total := 0
@@ -378,6 +392,7 @@
 		"no release while in use":       {paused, disabledGuards{releaseInUse: true}},
 		"clearance by time":             {rolling, disabledGuards{noClearance: true}},
 		"pause between two turns":       {turns, disabledGuards{noTurnPause: true}},
+		"eras":                          {restored, disabledGuards{noEras: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -120,7 +120,7 @@
 	if m.disabled.noWait {
 		claimAfter = 0
 	}
-	if !l.known {
+	if !l.known || (!l.held && m.state.afterEarlierEra) {
 		return now.Sub(l.lastRecordAt) >= claimAfter
 	}
 	return !l.held || l.termEnded || now.Sub(l.lastAcceptedAt) >= claimAfter
@@ -167,6 +167,7 @@
 	record := leaseRecord{
 		Key:      k,
 		Term:     Term{Holder: m.opts.Incarnation, Host: m.opts.Host, Address: m.opts.Address, Fence: o.fence},
+		Era:      m.state.era,
 		Previous: l.lastAccepted,
 	}
 	switch {
@@ -211,7 +212,7 @@
 	}
 	for _, rec := range l.buffer {
 		if rec.kind == kindClaim {
-			rec.body.Fence = rec.offset
+			rec.body.Fence, _ = fenceOf(rec.body.Era, rec.offset)
 		}
 		if rec.kind != kindEnded {
 			add(rec.body.Term)
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -93,6 +93,7 @@
 	noClearance       bool // uncleared predecessors are ignored
 	noTurnPause       bool // a host may hold again at once after another host held
 	releaseInUse      bool // a release is written while uses are open
+	noEras            bool // the era of the stream is ignored
 }
 
 // ownLease is the local state of one lease that this process tries to hold.
@@ -162,7 +163,7 @@
 	m.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamLease, Clock: opts.Clock,
 		Rand: rand.New(rand.NewSource(opts.Rand.Int63())),
-		Fold: m.foldRecord, Truncated: m.truncated, ReadOptions: opts.ReadOptions, Log: opts.Log,
+		Fold: m.foldRecord, Truncated: m.truncated, EraStarted: m.eraStarted, ReadOptions: opts.ReadOptions, Log: opts.Log,
 	})
 	m.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamLease, Clock: opts.Clock,
--- a/pkg/lease/records.go
+++ b/pkg/lease/records.go
@@ -38,7 +38,8 @@
 	// Host is the host instance and Address the address the process has bound.
 	Host    string `json:"host"`
 	Address string `json:"address"`
-	// Fence is the fencing token: the offset of the claim, zero or more.
+	// Fence is the fencing token: the era and the offset of the claim, see fenceOf. It is
+	// zero or more.
 	Fence int64 `json:"fence"`
 }
 
@@ -58,6 +59,9 @@
 type leaseRecord struct {
 	Key
 	Term
+	// Era is the era of the stream that the writer read in. The offsets in the record are
+	// those of this era.
+	Era int64 `json:"era,omitempty"`
 	// Previous is the offset of the holder's last accepted record that the
 	// writer has folded. In a claim it is that of the superseded holder, or none.
 	Previous int64 `json:"previous"`
