placement, relay, fleet: a stream goes on only at the software version that began it

Callers saw answers that hold events of two software versions: after a stream broke off the host continued it at any endpoint, a decode used the KV cache of a prefill at another version, and caches were copied between versions.

The cause: no choice of an endpoint regarded the version. A job now names the version that it is bound to, which is set with the first event that arrives; candidates, the decode after a prefill, the sources of copies and the retries of plain streams keep to it. A prefill engine is chosen only if its version has a decode engine, and before the first event the request may change to another version with a prefill there. A change of the version is news to other hosts and empties the engine's estimated cache.

Open: an engine that has restarted under its id and address with another version is not told from its former start until its announcement is read. After a stream broke off other engines of the version are preferred to the one that broke it off.

--- a/pkg/fleet/announcements.go
+++ b/pkg/fleet/announcements.go
@@ -52,5 +52,5 @@
 // decides on its requests.
 func (m Member) differs(o Member) bool {
 	return m.Role != o.Role || m.Address != o.Address || m.State != o.State || !slices.Equal(m.Models, o.Models) ||
-		m.Slots != o.Slots || (m.WarmupRemaining > 0) != (o.WarmupRemaining > 0)
+		m.Slots != o.Slots || m.SoftwareVersion != o.SoftwareVersion || (m.WarmupRemaining > 0) != (o.WarmupRemaining > 0)
 }
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -54,8 +54,8 @@
 	Joined    Change = "joined"
 	// Restarted means that the endpoint's start time changed.
 	Restarted Change = "restarted"
-	// Updated means that the role, address, state, models or slots changed, or that
-	// the endpoint has begun or ended to warm up.
+	// Updated means that the role, address, state, models, slots or software version
+	// changed, or that the endpoint has begun or ended to warm up.
 	Updated Change = "changed"
 	// Confirmed means that the announcement had lapsed in an outage of the store and
 	// the endpoint has announced itself again.
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -212,6 +212,22 @@
 	}
 }
 
+// TestSoftwareVersionIsAChange guards against hosts that keep the software version which an
+// endpoint had before, because leaders pass on only announcements that change something.
+func TestSoftwareVersionIsAChange(t *testing.T) {
+	r, a := NewRegistry(), NewAnnouncements()
+	old, next := member("a", 1, 1, endpoint.StateLive), member("a", 1, 2, endpoint.StateLive)
+	next.SoftwareVersion = "v2"
+	r.Announce(old)
+	a.Announce(old)
+	if change := r.Announce(next); change != Updated || r.Members("s")[0].SoftwareVersion != "v2" {
+		t.Errorf("change %q, members %+v", change, r.Members("s"))
+	}
+	if !a.Announce(next) {
+		t.Error("the announcement is no news to other hosts")
+	}
+}
+
 // TestAnnouncementAfterLapseIsAChange guards against an endpoint that other hosts give
 // up after an outage of the store: a leader does not pass on announcements that
 // change nothing, and this one ends their wait.
--- a/pkg/placement/decide.go
+++ b/pkg/placement/decide.go
@@ -67,24 +67,29 @@
 }
 
 // ChoosePrefill chooses the engine that prefills the prompt. It returns false if
-// no engine can.
+// no engine can. Only engines of the same software version can use the KV cache, so that
+// a decode engine of the chosen one's version is live.
 func (m *Model) ChoosePrefill(job Job, health Health, now time.Time) (Choice, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	candidates := m.candidates(endpoint.RolePrefill, job, health, now)
+	candidates := m.prefillCandidates(job, health, now)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	source, longest, pending := m.longestPrefix(job, health, now)
+	holders := m.longestPrefixes(job, health, now)
 	weight := recomputeWeight * m.demand.share(job.Parts, now)
 	s := m.newSelection(candidates, now)
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range candidates {
-		c := m.prefillChoice(e, job, source, longest, now)
+		held := holders[e.member.SoftwareVersion]
+		c := m.prefillChoice(e, job, held.source, held.longest, now)
 		shortest = min(shortest, c.Wait)
-		recomputed := max(0, pending-(job.PromptTokens-c.Uncached))
+		recomputed := max(0, held.pending-(job.PromptTokens-c.Uncached))
 		cost := c.Expected() + time.Duration(weight*float64(m.speed.prefillTime(recomputed, e.timeFactor)))
 		cost += tieBreak(job, e)
+		if m.versions > 1 {
+			cost += m.decodeWait(job, e.member.SoftwareVersion, health, now)
+		}
 		s.add(i, c, cost)
 	}
 	choice, ok := s.choose(job, now)
@@ -92,6 +97,29 @@
 	return choice, ok
 }
 
+// prefillCandidates returns the prefill engines that can take the job and whose software
+// version has a decode engine: one that can take work now or, if none of any version can,
+// a live one. It must be called with mu held.
+func (m *Model) prefillCandidates(job Job, health Health, now time.Time) []*engine {
+	if m.versions <= 1 {
+		return m.candidates(endpoint.RolePrefill, job, health, now)
+	}
+	decodes := map[string]bool{}
+	decodeJob := job
+	decodeJob.Exclude = nil
+	for _, e := range m.candidates(endpoint.RoleDecode, decodeJob, health, now) {
+		decodes[e.member.SoftwareVersion] = true
+	}
+	if len(decodes) == 0 {
+		for _, e := range m.order {
+			if e.member.Role == endpoint.RoleDecode && e.member.State == endpoint.StateLive {
+				decodes[e.member.SoftwareVersion] = true
+			}
+		}
+	}
+	return m.candidatesOf(endpoint.RolePrefill, job, decodes, health, now)
+}
+
 // tieBreak returns a time below tieBreakRange that decides between equally good
 // engines. It is a hash of the engine and the prompt's first part: hosts that
 // decide concurrently choose different engines for different prompts, and the
@@ -127,29 +155,42 @@
 	return c
 }
 
-// longestPrefix returns the live engine with the longest cached prefix of the
-// prompt, the number of tokens in it, and the number of tokens in the longest
-// prefix that any live engine holds or is computing. A copy from an ejected engine
-// would hang or fail.
-func (m *Model) longestPrefix(job Job, health Health, now time.Time) (source *engine, longest, longestPending int) {
+// heldPrefix is what the live engines of one software version hold of a prompt. source
+// is the engine with the longest cached prefix, of longest tokens, and pending the number
+// of tokens in the longest prefix that any of them holds or is computing.
+type heldPrefix struct {
+	source           *engine
+	longest, pending int
+}
+
+// longestPrefixes returns what the live engines hold of the prompt, by software version.
+// A copy from an ejected engine would hang or fail.
+func (m *Model) longestPrefixes(job Job, health Health, now time.Time) map[string]heldPrefix {
+	byVersion := make(map[string]heldPrefix, 1)
 	for _, e := range m.order {
 		ready, pending := e.cache.prefix(job.Parts, now)
 		if pending == 0 || e.member.State != endpoint.StateLive || health.Ejected(e.member, now) {
 			continue
 		}
-		longestPending = max(longestPending, pending)
-		if ready > longest {
-			source, longest = e, ready
+		held := byVersion[e.member.SoftwareVersion]
+		held.pending = max(held.pending, pending)
+		if ready > held.longest {
+			held.source, held.longest = e, ready
 		}
+		byVersion[e.member.SoftwareVersion] = held
 	}
-	return source, longest, longestPending
+	return byVersion
 }
 
-// ChooseDecode chooses the engine that decodes after the prefill at from. It
-// returns false if no engine can.
+// ChooseDecode chooses the engine that decodes after the prefill at from, of the same
+// software version. It returns false if no engine can.
 func (m *Model) ChooseDecode(job Job, from fleet.Member, health Health, now time.Time) (Choice, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if job.Software != "" && job.Software != from.SoftwareVersion {
+		return Choice{}, false
+	}
+	job.Software = from.SoftwareVersion
 	candidates := m.candidates(endpoint.RoleDecode, job, health, now)
 	s := m.newSelection(candidates, now)
 	for i, e := range candidates {
@@ -241,7 +282,13 @@
 func (m *Model) DecodeWait(job Job, health Health, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	job.Exclude = nil
+	return m.decodeWait(job, job.Software, health, now)
+}
+
+// decodeWait returns the same among the engines of a software version; empty means any.
+// It must be called with mu held.
+func (m *Model) decodeWait(job Job, software string, health Health, now time.Time) time.Duration {
+	job.Exclude, job.Software = nil, software
 	least := -1
 	for _, e := range m.candidates(endpoint.RoleDecode, job, health, now) {
 		if n := e.activeStreams(now); least < 0 || n < least {
@@ -265,12 +312,21 @@
 // engines are returned only if there are no others, paused ones never. It must be
 // called with mu held.
 func (m *Model) candidates(role endpoint.Role, job Job, health Health, now time.Time) []*engine {
+	return m.candidatesOf(role, job, nil, health, now)
+}
+
+// candidatesOf returns the same among the engines of some software versions; nil means
+// any. It must be called with mu held.
+func (m *Model) candidatesOf(role endpoint.Role, job Job, versions map[string]bool, health Health, now time.Time) []*engine {
 	var healthy, ejected []*engine
 	for _, e := range m.order {
 		if now.Before(e.blockedUntil) || e.member.Role != role || e.member.State != endpoint.StateLive || slices.Contains(job.Exclude, e.member.ID) ||
 			now.Before(health.PausedUntil(e.member)) {
 			continue
 		}
+		if job.Software != "" && e.member.SoftwareVersion != job.Software || versions != nil && !versions[e.member.SoftwareVersion] {
+			continue
+		}
 		if health.Ejected(e.member, now) {
 			ejected = append(ejected, e)
 			continue
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -102,7 +102,9 @@
 	// order lists the engines in the order given to SetFleet, by ID, so that
 	// all hosts break ties alike.
 	order []*engine
-	work  workMeter
+	// versions is the number of software versions of the engines.
+	versions int
+	work     workMeter
 	// demand counts the uses of shared parts.
 	demand demand
 	// streamTime is the smoothed time for which a stream takes a slot. It is
@@ -136,6 +138,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := make(map[string]*engine, len(members))
+	versions := map[string]bool{}
 	m.order = m.order[:0]
 	for _, member := range members {
 		e := m.engines[member.ID]
@@ -143,14 +146,15 @@
 			// The role change that blocked the engine is complete.
 			e.blockedUntil = time.Time{}
 		}
-		if e == nil || e.member.StartedMillis != member.StartedMillis {
+		if e == nil || e.member.StartedMillis != member.StartedMillis || e.member.SoftwareVersion != member.SoftwareVersion {
 			e = &engine{cache: newCache(m.properties.CacheTokens), inFlight: map[*InFlightSend]struct{}{}, timeFactor: 1}
 		}
 		e.member = member
 		next[member.ID] = e
 		m.order = append(m.order, e)
+		versions[member.SoftwareVersion] = true
 	}
-	m.engines = next
+	m.engines, m.versions = next, len(versions)
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -29,6 +29,9 @@
 	Due time.Time
 	// Exclude lists the IDs of engines that have failed the request.
 	Exclude []string
+	// Software is the software version that the work is bound to; empty if any engine may
+	// take it.
+	Software string
 }
 
 // Choice is the engine chosen for one phase and the expected timing there.
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -76,6 +76,9 @@
 	// lastDelivered is the id of the last event that the caller has received; empty if it
 	// has received none.
 	lastDelivered string
+	// software is the software version that the rest of the stream must come from: that of
+	// the first event. It is empty before that.
+	software string
 	// logFields holds the decisions made for the request, for its log line.
 	logFields log.Fields
 	// streaming says that the answer is written after the handler has returned.
--- a/pkg/relay/generate.go
+++ b/pkg/relay/generate.go
@@ -71,13 +71,17 @@
 	// silentEngine is the decode engine that was given up last because it was silent;
 	// empty if the last one failed in another way.
 	silentEngine string
+	// softwareChanged is set once the prefill was repeated at another software version.
+	softwareChanged bool
+	// brokenOff lists the decode engines that broke the stream off after its first event.
+	brokenOff []string
 }
 
 // generate serves a request for model work.
 func (h *Handler) generate(x *exchange, model *placement.Model) *refusal.Refusal {
 	p := x.call.Prompt
 	g := &generation{h: h, x: x, model: model,
-		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputLimit: p.MaxOutput}}
+		urgency: urgencyOf(x), job: placement.Job{Parts: p.Parts, PromptTokens: p.Tokens, OutputLimit: p.MaxOutput, Software: x.software}}
 	defer func() { model.Held.Release(g.held) }()
 	stream, r := g.open()
 	if r != nil {
@@ -159,7 +163,9 @@
 
 // sendWait returns the same for a request that nothing holds back.
 func (g *generation) sendWait(c placement.Choice) time.Duration {
-	return c.Expected() + g.model.DecodeWait(g.job, g.h.health(), time.Now()) + firstEventLatency
+	job := g.job
+	job.Software = c.Engine.SoftwareVersion
+	return c.Expected() + g.model.DecodeWait(job, g.h.health(), time.Now()) + firstEventLatency
 }
 
 // timeLeft returns how long the caller still waits for the next event.
@@ -376,6 +382,9 @@
 		job.Due = g.due(time.Now())
 		choice, ok := g.model.ChooseDecode(job, from, g.h.health(), time.Now())
 		if !ok {
+			if g.mayChangeSoftware(job) {
+				return nil, true, nil
+			}
 			return nil, false, g.decodeRefusal(nil)
 		}
 		s, err := g.startDecode(choice, opts)
@@ -396,7 +405,7 @@
 		case notSent(err) && asked < maxDecodeEngines:
 		case provesNotRun(err) && asked < maxDecodeEngines && g.h.Budget.Spend(g.x.service, time.Now()):
 			g.h.Metrics.Retries.Add(1)
-			opts = ForwardOptions{Phase: PhaseFull, CopyFrom: handle.member.Address}
+			opts = ForwardOptions{Phase: PhaseFull, CopyFrom: g.h.copySource(handle.member)}
 		case g.mayRetryRun(err):
 			return nil, true, nil
 		default:
@@ -405,6 +414,32 @@
 	}
 }
 
+// mayChangeSoftware reports whether the prefill may be repeated at another software
+// version because no engine of the first one's can decode, and takes the retry from the
+// retry budget if so. It may once for each request.
+func (g *generation) mayChangeSoftware(job placement.Job) bool {
+	if g.softwareChanged || job.Software != "" {
+		return false
+	}
+	job.Exclude = nil
+	if _, ok := g.model.ChooseDecodeWithPrefill(job, g.h.health(), time.Now()); !ok || !g.h.Budget.Spend(g.x.service, time.Now()) {
+		return false
+	}
+	g.softwareChanged = true
+	g.h.Metrics.Retries.Add(1)
+	return true
+}
+
+// copySource returns the address of an engine from which KV cache may be copied, empty
+// after a restart: another software version may run there since.
+func (h *Handler) copySource(m fleet.Member) string {
+	current, known := h.Fleet.Find(m.ID)
+	if !known || current.StartedMillis != m.StartedMillis || current.Address != m.Address || current.SoftwareVersion != m.SoftwareVersion {
+		return ""
+	}
+	return m.Address
+}
+
 // mayRetryRun reports whether the request may be sent again after a failed attempt
 // to run it, and takes the retry from the retry budget if so.
 func (g *generation) mayRetryRun(err error) bool {
--- a/pkg/relay/generationstream.go
+++ b/pkg/relay/generationstream.go
@@ -18,6 +18,7 @@
 
 // progressed implements streamSource.
 func (g *generation) progressed(s *stream) {
+	g.job.Software = g.x.software
 	if g.progressAt = s.eventAt; s.eventAt.Equal(s.firstEventAt) && s.expected > 0 {
 		g.h.Pace.Answered(s.member.ID, s.sentAt, s.expected, s.eventAt)
 	}
@@ -39,6 +40,9 @@
 func (g *generation) resume(s *stream, cause error) (*stream, *refusal.Refusal) {
 	g.job.Exclude = append(g.job.Exclude, s.member.ID)
 	g.avoidSilent(s.member)
+	if g.job.Software != "" {
+		g.brokenOff = append(g.brokenOff, s.member.ID)
+	}
 	if !g.mayRetryRun(cause) {
 		return nil, streamBrokenRefusal(cause)
 	}
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -65,7 +66,11 @@
 // firstPauseEnd returns when the first endpoint of the request's service and of a role
 // takes work again, if all of them are paused.
 func (h *Handler) firstPauseEnd(x *exchange, role endpoint.Role) (time.Time, bool) {
-	return placement.FirstPauseEnd(h.Fleet.Members(x.service), role, h.health(), time.Now())
+	members := h.Fleet.Members(x.service)
+	if x.software != "" {
+		members = slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool { return m.SoftwareVersion != x.software })
+	}
+	return placement.FirstPauseEnd(members, role, h.health(), time.Now())
 }
 
 // retryAfterPause returns the Retry-After of a request that no endpoint of a role
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -94,7 +94,7 @@
 			return nil, r
 		}
 		sentAt := time.Now()
-		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), p.tried, h.health(), sentAt)
+		member, ok := h.Balancer.Pick(h.Fleet.Members(x.service), h.excluded(x, p.tried), h.health(), sentAt)
 		if !ok {
 			return nil, p.end()
 		}
@@ -170,6 +170,21 @@
 	return p.send()
 }
 
+// excluded returns the endpoints of a plain service that do not get a request which the
+// tried ones got: these, and for a stream that has begun those of other software versions.
+func (h *Handler) excluded(x *exchange, tried []string) []string {
+	if x.software == "" {
+		return tried
+	}
+	out := slices.Clone(tried)
+	for _, m := range h.Fleet.Members(x.service) {
+		if m.SoftwareVersion != x.software {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // isRetryableAnswer reports whether the endpoint answered with a failure after
 // which the request may be sent to another one.
 func (h *Handler) isRetryableAnswer(x *exchange, answer *upstream.Answer) bool {
--- a/pkg/relay/silence.go
+++ b/pkg/relay/silence.go
@@ -86,7 +86,7 @@
 	return func(now time.Time) retry.Silence {
 		s := retry.Silence{Repeatable: g.x.route.MayRepeat(), Sends: sends, MaxSends: g.x.route.MaxAttempts}
 		job := g.job
-		job.Exclude = []string{m.ID}
+		job.Exclude = append(slices.Clone(g.brokenOff), m.ID)
 		decode, ok := g.model.ChooseDecodeWithPrefill(job, g.h.health(), now)
 		if !ok || g.h.Outliers.Ejected(decode.Engine, now) {
 			return s
@@ -120,7 +120,7 @@
 	return func(now time.Time) retry.Silence {
 		return retry.Silence{
 			Repeatable: x.route.MayRepeat(), Sends: sends, MaxSends: x.route.MaxAttempts,
-			Alternative: placement.AnyHealthy(h.Fleet.Members(x.service), tried, h.health(), now),
+			Alternative: placement.AnyHealthy(h.Fleet.Members(x.service), h.excluded(x, tried), h.health(), now),
 		}
 	}
 }
@@ -134,15 +134,20 @@
 }
 
 // decodeJob returns the job for the choice of a decode engine. It excludes the engine
-// that was given up for its silence, unless no other is left.
+// that was given up for its silence, and those that broke off a stream that has begun:
+// they may have restarted with another software version and not announced it yet. If no
+// other is left it excludes none.
 func (g *generation) decodeJob() placement.Job {
 	job := g.job
 	job.Exclude = nil
-	if g.silentEngine == "" {
+	without := job
+	without.Exclude = slices.Clone(g.brokenOff)
+	if g.silentEngine != "" {
+		without.Exclude = append(without.Exclude, g.silentEngine)
+	}
+	if len(without.Exclude) == 0 {
 		return job
 	}
-	without := job
-	without.Exclude = []string{g.silentEngine}
 	if _, ok := g.model.ChooseDecodeWithPrefill(without, g.h.health(), time.Now()); ok {
 		return without
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -135,6 +135,8 @@
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt, s.firstEvents = s.eventAt, s.events
 	}
+	// What two software versions write does not fit together, and endpoints do not check it.
+	s.x.software = s.member.SoftwareVersion
 	s.source.progressed(s)
 	s.updateLastEventID(events)
 	return events
