roles, relayhost: divide the engines of each software version by themselves

KV cache is used only at the version that computed it. While a release replaces the engines of a service, the policy divided all of them as one fleet, so that a version could have prefill engines only: they idled, and its requests had no engine to decode.

The policy now decides for each version with its share of the work. A version that lacks a phase changes one engine also under load; a single engine decodes, because it can prefill too. With one version nothing changes.

--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -61,7 +61,7 @@
 		if m.Role == "" {
 			continue
 		}
-		e := roles.Engine{ID: m.ID, Domain: m.Domain, Role: m.Role, Usable: m.State == endpoint.StateLive}
+		e := roles.Engine{ID: m.ID, Domain: m.Domain, SoftwareVersion: m.SoftwareVersion, Role: m.Role, Usable: m.State == endpoint.StateLive}
 		if c, ok := d.roleChanges[m.ID]; ok {
 			e.ChangedAt = c.orderedAt
 			e.Changing = m.Role != c.to && now.Sub(c.orderedAt) < roleChangeTime+roleChangeGrace
--- a/pkg/roles/roles.go
+++ b/pkg/roles/roles.go
@@ -9,7 +9,10 @@
 // Engine is the state of an engine that a Policy considers.
 type Engine struct {
 	ID, Domain string
-	Role       endpoint.Role
+	// SoftwareVersion is that of the engine's software. Engines of different versions
+	// cannot use each other's KV cache.
+	SoftwareVersion string
+	Role            endpoint.Role
 	// Usable is set if the engine is live and not scheduled to leave.
 	Usable bool
 	// Changing is set if a role change is in progress, or if it ended with an
--- a/pkg/roles/split.go
+++ b/pkg/roles/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -81,8 +82,41 @@
 	return peak
 }
 
-// Decide implements Policy.
+// Decide implements Policy. Engines of different software versions cannot work on the same
+// request, so that the engines of each version are divided by themselves.
 func (p SplitRolePolicy) Decide(in Input) []Change {
+	byVersion := map[string][]Engine{}
+	usable := map[string]int{}
+	total := 0
+	for _, e := range in.Engines {
+		byVersion[e.SoftwareVersion] = append(byVersion[e.SoftwareVersion], e)
+		if e.Usable {
+			usable[e.SoftwareVersion]++
+			total++
+		}
+	}
+	if len(usable) <= 1 {
+		return p.decideVersion(in, false)
+	}
+	var out []Change
+	for _, version := range slices.Sorted(maps.Keys(usable)) {
+		part := in
+		share := float64(usable[version]) / float64(total)
+		part.Engines, part.Work, part.Peak = byVersion[version], in.Work.scaled(share), in.Peak.scaled(share)
+		out = append(out, p.decideVersion(part, true)...)
+	}
+	return out
+}
+
+// scaled returns a share of the work.
+func (w Work) scaled(share float64) Work {
+	return Work{Prefill: w.Prefill * share, Decode: w.Decode * share}
+}
+
+// decideVersion decides on the engines of one software version. beside says that engines of
+// other versions serve beside them. A version that then lacks a phase changes an engine also
+// if the load is no reason to: its other engines are of no use.
+func (p SplitRolePolicy) decideVersion(in Input, beside bool) []Change {
 	var decode, prefill []Engine
 	usable, changing := 0, 0
 	decodeByDomain := map[string]int{}
@@ -101,17 +135,20 @@
 			prefill = append(prefill, e)
 		}
 	}
-	if usable < 2 {
+	if usable < 2 && (!beside || len(decode) > 0) {
 		// The rest of the fleet may not have announced itself yet, and one engine
-		// cannot run both phases.
+		// cannot run both phases. A decode engine can also prefill.
 		return nil
 	}
 	work := p.demand(in, usable)
 	want := p.DecodeEngines(work, usable, in.Slots)
 	allowed := usable
+	lacksPhase := beside && (len(decode) == 0 || len(prefill) == 0 && usable > 1)
 	if in.Work.Prefill+in.Work.Decode > maxIdleWork {
 		allowed = max(1, int(p.MaxChangingShare*float64(usable))) - changing
-		if busierPhase(work, len(decode), usable)-busierPhase(work, want, usable) < p.MinGain {
+		if lacksPhase {
+			want = max(1, min(len(decode), usable-1))
+		} else if busierPhase(work, len(decode), usable)-busierPhase(work, want, usable) < p.MinGain {
 			return nil
 		}
 	}
--- a/pkg/roles/split_test.go
+++ b/pkg/roles/split_test.go
@@ -147,3 +147,96 @@
 		}
 	}
 }
+
+// versionedFleet returns engines of two software versions with the given numbers of prefill
+// and decode engines.
+func versionedFleet(prefillA, decodeA, prefillB, decodeB int) []Engine {
+	var engines []Engine
+	add := func(version string, role endpoint.Role, n int) {
+		for i := range n {
+			engines = append(engines, Engine{ID: fmt.Sprintf("%s-%s-%02d", version, role, i), Domain: fmt.Sprint("d", i%4), SoftwareVersion: version, Role: role, Usable: true})
+		}
+	}
+	add("a", endpoint.RolePrefill, prefillA)
+	add("a", endpoint.RoleDecode, decodeA)
+	add("b", endpoint.RolePrefill, prefillB)
+	add("b", endpoint.RoleDecode, decodeB)
+	return engines
+}
+
+// TestSplitServesEachSoftwareVersion guards against engines that idle because no engine of
+// their software version runs the other phase, and against needless changes.
+func TestSplitServesEachSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name                              string
+		prefillA, decodeA, prefillB, decB int
+		work                              Work
+		wantA, wantB                      int // decode engines after the decision
+		wantChanges                       int
+	}{
+		{name: "idle, the second version only prefills", prefillA: 8, decodeA: 3, prefillB: 4, wantA: 3, wantB: 2, wantChanges: 2},
+		{name: "loaded, the second version only prefills", prefillA: 8, decodeA: 3, prefillB: 4, work: Work{6, 1}, wantA: 3, wantB: 1, wantChanges: 1},
+		{name: "loaded, the second version only decodes", prefillA: 8, decodeA: 3, decB: 3, work: Work{6, 1}, wantA: 3, wantB: 2, wantChanges: 1},
+		{name: "single prefill engine", prefillA: 8, decodeA: 3, prefillB: 1, work: Work{6, 1}, wantA: 3, wantB: 1, wantChanges: 1},
+		{name: "single decode engine", prefillA: 8, decodeA: 3, decB: 1, work: Work{6, 1}, wantA: 3, wantB: 1},
+		{name: "both versions serve", prefillA: 5, decodeA: 2, prefillB: 4, decB: 2, work: Work{4, 1}, wantA: 2, wantB: 2},
+	}
+	for _, tt := range tests {
+		engines := versionedFleet(tt.prefillA, tt.decodeA, tt.prefillB, tt.decB)
+		changes := DefaultSplitRolePolicy().Decide(Input{Now: splitStart, Engines: engines, Work: tt.work})
+		decode := map[string]int{}
+		for _, e := range engines {
+			for _, c := range changes {
+				if c.Engine == e.ID {
+					e.Role = c.To
+				}
+			}
+			if e.Role == endpoint.RoleDecode {
+				decode[e.SoftwareVersion]++
+			}
+		}
+		if decode["a"] != tt.wantA || decode["b"] != tt.wantB || len(changes) != tt.wantChanges {
+			t.Errorf("%s: %d and %d decode engines after %d changes, want %d and %d after %d", tt.name, decode["a"], decode["b"], len(changes), tt.wantA, tt.wantB, tt.wantChanges)
+		}
+	}
+}
+
+// TestSplitOfRollingReleaseOrdersFewChanges replays a release that replaces 12 engines one
+// after the other. It guards against an order for each step, and against a version that has
+// two engines and cannot serve.
+func TestSplitOfRollingReleaseOrdersFewChanges(t *testing.T) {
+	p := DefaultSplitRolePolicy()
+	engines := versionedFleet(9, 3, 0, 0)
+	ordered := 0
+	for step := range 12 {
+		// The new engine starts in the role of the one that it replaces.
+		for i := range engines {
+			if e := &engines[(i*5+step)%12]; e.SoftwareVersion == "a" {
+				*e = Engine{ID: fmt.Sprint("b-", step), Domain: e.Domain, SoftwareVersion: "b", Role: e.Role, Usable: true}
+				break
+			}
+		}
+		now := splitStart.Add(time.Duration(step) * 5 * time.Second)
+		for _, c := range p.Decide(Input{Now: now, Engines: engines, Work: Work{4, 0.8}, Peak: Work{4.5, 1}}) {
+			ordered++
+			for i := range engines {
+				if engines[i].ID == c.Engine {
+					engines[i].Role, engines[i].ChangedAt = c.To, now
+				}
+			}
+		}
+		count := map[string]map[endpoint.Role]int{"a": {}, "b": {}}
+		for _, e := range engines {
+			count[e.SoftwareVersion][e.Role]++
+		}
+		for version, n := range count {
+			if n[endpoint.RolePrefill]+n[endpoint.RoleDecode] >= 2 && (n[endpoint.RolePrefill] == 0 || n[endpoint.RoleDecode] == 0) {
+				t.Errorf("step %d: version %s has the engines %v", step, version, n)
+			}
+		}
+	}
+	if ordered > 12 {
+		t.Errorf("%d role changes for a release of 12 engines", ordered)
+	}
+	t.Logf("%d role changes", ordered)
+}
