standin, platform: engines have a software version

The stand-in engines announce a software version and write answers that depend on it, and dev.Options sets it for each engine, so that a test can see an answer that is joined from two versions. Without a version the answers are as before. A dev engine that restarts has its new instance listed, as those that platformd starts do.

--- a/pkg/dev/cluster.go
+++ b/pkg/dev/cluster.go
@@ -63,9 +63,11 @@
 	// nil.
 	Roles roles.Policy
 	// Engine holds the engines' options, rates for example. Zero fields take the
-	// stand-in's defaults; ID, Model, Version, ChecksFencing, CrashMarker and Log
-	// are overwritten.
+	// stand-in's defaults; ID, Model, Version, ChecksFencing, CrashMarker,
+	// OnInstance and Log are overwritten, and SoftwareVersion if Options.SoftwareVersion is set.
 	Engine engined.Options
+	// SoftwareVersion returns the software version of an engine; nil for none.
+	SoftwareVersion func(engineID string) string
 	// TLS serves callers and operators over TLS, with the certificates that the
 	// hosts use among themselves.
 	TLS bool
@@ -155,6 +157,10 @@
 	opts.ID, opts.Model, opts.Version = id, model, modelVersion
 	opts.ChecksFencing, opts.CrashMarker = true, "crash-the-engine"
 	opts.Log = c.opts.Log
+	opts.OnInstance = c.plat.SetInstance
+	if c.opts.SoftwareVersion != nil {
+		opts.SoftwareVersion = c.opts.SoftwareVersion(id)
+	}
 	return engined.New(opts)
 }
 
--- a/pkg/standin/engined/handlers.go
+++ b/pkg/standin/engined/handlers.go
@@ -265,13 +265,14 @@
 	comments := s.opts.Clock.NewTicker(CommentInterval)
 	defer comments.Stop()
 	sent := min(max(j.request.SkipTokens, 0), j.outputLength)
+	answer := answerHash(s.opts.SoftwareVersion, j.promptHash)
 	for {
 		s.mu.Lock()
 		generated, finish, aborted, cached := j.generated, j.finishReason, j.aborted, j.cachedTokens
 		s.mu.Unlock()
 		wrote := sent < generated
 		for ; sent < generated; sent++ {
-			writeEvent(w, enginewire.Event{RequestID: j.request.RequestID, Index: sent, Token: tokenAt(j.promptHash, sent)})
+			writeEvent(w, enginewire.Event{RequestID: j.request.RequestID, Index: sent, Token: tokenAt(answer, sent)})
 		}
 		if finish != "" {
 			writeEvent(w, enginewire.Event{
--- a/pkg/standin/engined/options.go
+++ b/pkg/standin/engined/options.go
@@ -33,6 +33,9 @@
 	ID      string
 	Model   string
 	Version string
+	// SoftwareVersion is that of the engine's software. Engines of different versions give
+	// different answers to one prompt; none checks the version of what it goes on with.
+	SoftwareVersion string
 	// Adapters are the adapters loaded at start.
 	Adapters []string
 	// Role is endpoint.RoleMixed if empty.
--- a/pkg/standin/engined/server.go
+++ b/pkg/standin/engined/server.go
@@ -113,13 +113,14 @@
 // Endpoint returns the engine as the platform lists it.
 func (s *Server) Endpoint(domain, kind string) endpoint.Endpoint {
 	return endpoint.Endpoint{
-		ID:            s.opts.ID,
-		Instance:      s.Instance(),
-		Address:       s.Address(),
-		Domain:        domain,
-		Kind:          kind,
-		State:         endpoint.StateLive,
-		ChecksFencing: s.opts.ChecksFencing,
+		ID:              s.opts.ID,
+		Instance:        s.Instance(),
+		Address:         s.Address(),
+		Domain:          domain,
+		Kind:            kind,
+		State:           endpoint.StateLive,
+		SoftwareVersion: s.opts.SoftwareVersion,
+		ChecksFencing:   s.opts.ChecksFencing,
 	}
 }
 
--- a/pkg/standin/platformd/enginehost.go
+++ b/pkg/standin/platformd/enginehost.go
@@ -27,7 +27,7 @@
 }
 
 // Start starts an engine for a provision order. It returns the endpoint with
-// Instance, Address and ChecksFencing set, and a function that stops the engine.
+// Instance, Address, SoftwareVersion and ChecksFencing set, and a function that stops the engine.
 // An endpoint that is not an engine is an error.
 func (h *EngineHost) Start(e endpoint.Endpoint, order endpointapi.ProvisionOrder) (endpoint.Endpoint, func(), error) {
 	if !e.IsEngine() {
@@ -53,6 +53,7 @@
 	}
 	e.Instance = engine.Instance()
 	e.Address = engine.Address()
+	e.SoftwareVersion = opts.SoftwareVersion
 	e.ChecksFencing = opts.ChecksFencing
 	return e, func() { _ = engine.Close() }, nil
 }
