platform: tests can replace how connections to endpoints are opened

A host whose path to its endpoints is lost cannot be tested: the connections are opened inside pkg/upstream.

--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -53,7 +53,7 @@
 	operatorIdleTimeout = 20 * time.Second
 )
 
-// Adapter connects a host to its platform. All fields must be set.
+// Adapter connects a host to its platform. All fields but DialEndpoint must be set.
 type Adapter struct {
 	Codec relay.Codec
 	// KeyedLog gives access to the topics named below.
@@ -71,6 +71,8 @@
 	// StoreCalls counts the calls to the store by their name, StoreEras its eras.
 	StoreCalls *expvar.Map
 	StoreEras  *logservice.Eras
+	// DialEndpoint opens connections to endpoints; nil means TCP.
+	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Host is an entry host. Run must be called only once.
@@ -131,7 +133,7 @@
 	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), unnamed: unnamedEndpoints{last: map[string]endpointRecord{}}, pace: pace.NewLimiter(settings.Host),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
-	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory})
+	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory, Dial: adapter.DialEndpoint})
 	h.models = placement.NewModels(h.pace)
 	h.balancer = placement.NewBalancer(settings.Domain)
 	h.balancer.SetLimiter(h.pace)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -46,6 +46,8 @@
 	// Memory bounds the bytes of all bodies that are read at the same time; nil means
 	// no bound.
 	Memory *membudget.Budget
+	// Dial opens connections; nil means TCP within DialTimeout.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client sends requests to peers. It is safe for concurrent use.
@@ -58,7 +60,14 @@
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	return &Client{ackTimeout: ackTimeout, bodies: membudget.NewAnswers(opts.Memory), pool: pool{dialTimeout: opts.DialTimeout, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
+	dial := opts.Dial
+	if dial == nil {
+		dialer := dialer(opts.DialTimeout, opts.IdleTimeout)
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(cancelOnly{ctx}, "tcp", address)
+		}
+	}
+	return &Client{ackTimeout: ackTimeout, bodies: membudget.NewAnswers(opts.Memory), pool: pool{dial: dial, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -120,7 +120,7 @@
 
 // pool keeps idle connections by address. It is safe for concurrent use.
 type pool struct {
-	dialTimeout time.Duration
+	dial        func(ctx context.Context, address string) (net.Conn, error)
 	idleTimeout time.Duration
 	maxIdle     int
 	maxOpen     int
@@ -148,7 +148,7 @@
 	p.mu.Unlock()
 	p.makeRoom()
 	nc, err := descriptors.Retry(p.closeLongestIdle, func() (net.Conn, error) {
-		return dialer(p.dialTimeout, p.idleTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
+		return p.dial(ctx, address)
 	})
 	if err != nil {
 		return nil, err
