upstream: connections may be opened through another host

Options.Dial may return a connection that goes through another host (Indirect); it carries one exchange and is not kept idle. MayUseIdle keeps idle connections out of use that may have lost their path, OnSent and OnAnswered show which direct exchanges are answered, ErrNoPath reports a failure that says nothing about the peer. Fields that state the time that is left are made once the connection is open: opening one takes up to 450 ms, and an endpoint was told 121 ms too much when it took 120 ms. The progress of acknowledgements moves to connstate, where tunnels use it too.

The tests of pkg/upstream pass as before.

--- a/pkg/upstream/acknowledge.go
+++ b/pkg/upstream/acknowledge.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/clementineshed/clementineshed/pkg/connstate"
 )
 
 const (
@@ -22,24 +22,6 @@
 // errUnacknowledged reports that the peer did not acknowledge the request.
 var errUnacknowledged = errors.Wrap(ErrAnswerTimeout, "the request is not acknowledged")
 
-// unacknowledged returns the number of sent bytes that the peer has not acknowledged.
-func unacknowledged(nc net.Conn) (int, error) {
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return 0, nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	queued := 0
-	var queueErr error
-	if err := raw.Control(func(fd uintptr) { queued, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
-		return 0, err
-	}
-	return queued, queueErr
-}
-
 // ackWatch resets a connection whose peer does not acknowledge the request that is
 // sent on it. It is safe for concurrent use.
 type ackWatch struct {
@@ -50,19 +32,16 @@
 	// The fields below are guarded by mu.
 	timer *time.Timer
 	// sent says that the kernel has taken the whole request.
-	sent    bool
-	stopped bool
-	// acknowledged counts the bytes that the peer had acknowledged at progressAt, when
-	// the number was last seen to grow or nothing was on its way.
-	acknowledged int64
-	progressAt   time.Time
+	sent     bool
+	stopped  bool
+	progress connstate.AckProgress
 	// expired says that the connection was reset.
 	expired bool
 }
 
 // watchAcks watches the request that is about to be sent on a connection.
 func watchAcks(cn *conn, timeout time.Duration) *ackWatch {
-	w := &ackWatch{cn: cn, timeout: timeout, acknowledged: cn.written.Load(), progressAt: time.Now()}
+	w := &ackWatch{cn: cn, timeout: timeout, progress: connstate.NewAckProgress(cn.written.Load(), time.Now())}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(timeout/ackChecks, w.check)
@@ -75,15 +54,11 @@
 	if w.stopped {
 		return
 	}
-	queued, err := unacknowledged(w.cn.Conn)
+	queued, err := connstate.Unacknowledged(w.cn)
 	if err != nil {
 		return
 	}
-	now := time.Now()
-	if acknowledged := w.cn.written.Load() - int64(queued); queued == 0 || acknowledged > w.acknowledged {
-		w.acknowledged, w.progressAt = acknowledged, now
-	}
-	if now.Sub(w.progressAt) >= w.timeout {
+	if w.progress.Stalled(w.cn.written.Load(), queued, time.Now(), w.timeout) {
 		w.expired = true
 		w.cn.abort()
 		return
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -30,6 +32,9 @@
 	ErrAnswerTimeout = errors.New("no answer within the limit")
 	// ErrIncomplete reports an answer that broke off or exceeds a limit.
 	ErrIncomplete = errors.New("the answer is incomplete")
+	// ErrNoPath reports that neither this host nor another one that it could ask has a path
+	// to the peer.
+	ErrNoPath = errors.New("no host that was asked has a path to the peer")
 )
 
 // Options configure a Client.
@@ -46,8 +51,23 @@
 	// Memory bounds the bytes of all bodies that are read at the same time; nil means
 	// no bound.
 	Memory *membudget.Budget
-	// Dial opens connections; nil means TCP within DialTimeout.
+	// Dial opens connections; nil means direct ones by TCP, within DialTimeout. An error
+	// must mean that no byte has reached the peer. It wraps ErrNoPath if it says nothing
+	// about the peer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MayUseIdle reports whether a connection that has been idle since a time may be used
+	// again; nil means yes. It must not call methods of the Client.
+	MayUseIdle func(address string, idleAt time.Time) bool
+	// OnSent and OnAnswered, if set, are called for each request that is sent on a direct
+	// connection, and when the head of its answer has arrived.
+	OnSent, OnAnswered func(address string)
+}
+
+// Indirect is implemented by connections that Options.Dial has opened through another
+// host. They are not used again.
+type Indirect interface {
+	// Via returns the name of that host.
+	Via() string
 }
 
 // Client sends requests to peers. It is safe for concurrent use.
@@ -55,19 +75,21 @@
 	pool   pool
 	bodies *membudget.Answers
 	// ackTimeout is ackTimeout except in tests.
-	ackTimeout time.Duration
+	ackTimeout         time.Duration
+	onSent, onAnswered func(address string)
 }
 
 // New returns a client. The caller must Close it.
 func New(opts Options) *Client {
-	dial := opts.Dial
-	if dial == nil {
-		dialer := dialer(opts.DialTimeout, opts.IdleTimeout)
-		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(cancelOnly{ctx}, "tcp", address)
+	if opts.Dial == nil {
+		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return DialTCP(ctx, address, opts.DialTimeout, opts.IdleTimeout)
 		}
 	}
-	return &Client{ackTimeout: ackTimeout, bodies: membudget.NewAnswers(opts.Memory), pool: pool{dial: dial, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
+	if opts.MayUseIdle == nil {
+		opts.MayUseIdle = func(string, time.Time) bool { return true }
+	}
+	return &Client{ackTimeout: ackTimeout, onSent: opts.OnSent, onAnswered: opts.OnAnswered, bodies: membudget.NewAnswers(opts.Memory), pool: pool{dial: opts.Dial, mayUseIdle: opts.MayUseIdle, idleTimeout: opts.IdleTimeout, maxIdle: opts.MaxIdle, maxOpen: opts.MaxOpen, idle: map[string][]*conn{}}}
 }
 
 // Close closes the idle connections. Those in use are closed when their answers
@@ -138,7 +160,7 @@
 	}
 	cn.maxIdle = req.MaxIdle
 	stop := context.AfterFunc(ctx, cn.abort)
-	answer, err := c.exchange(cn, req)
+	answer, err := c.observedExchange(cn, req)
 	if err != nil {
 		stop()
 		cn.abort()
@@ -151,6 +173,19 @@
 	return answer, nil
 }
 
+// observedExchange is exchange with the calls of OnSent and OnAnswered.
+func (c *Client) observedExchange(cn *conn, req *Request) (*Answer, error) {
+	if cn.via != "" || c.onSent == nil {
+		return c.exchange(cn, req)
+	}
+	c.onSent(cn.address)
+	answer, err := c.exchange(cn, req)
+	if err == nil {
+		c.onAnswered(cn.address)
+	}
+	return answer, err
+}
+
 // exchange sends a request on a connection and reads the head of the answer. The
 // end of the request's context aborts the connection. Its deadline is not set on
 // the connection, because it may be the time of another clock than the system's.
@@ -211,23 +246,40 @@
 // readHead reads the head of the final answer and skips interim (1xx) ones.
 func readHead(cn *conn, method string) (*Answer, error) {
 	var head fasthttp.ResponseHeader
-	head.SetNoDefaultContentType(true)
-	if err := httphead.ReadFinal(cn.r, &head); err != nil {
+	a, err := parseHead(cn.r, &head)
+	if err != nil {
 		if isTimeout(err) {
 			return nil, errors.Wrap(ErrAnswerTimeout, err.Error())
 		}
 		return nil, errors.Wrap(err, "read head")
 	}
-	a := &Answer{Status: head.StatusCode(), conn: cn, framed: true}
-	for name, value := range head.All() {
-		a.Fields = append(a.Fields, Field{string(name), string(value)})
-	}
+	a.conn, a.framed = cn, true
 	a.reusable = !head.ConnectionClose()
 	cn.idleTimeout = announcedIdle(a.Fields.Get("Keep-Alive"))
 	a.frame(cn, method, &head)
 	return a, nil
 }
 
+func parseHead(r *bufio.Reader, head *fasthttp.ResponseHeader) (*Answer, error) {
+	head.SetNoDefaultContentType(true)
+	if err := httphead.ReadFinal(r, head); err != nil {
+		return nil, err
+	}
+	a := &Answer{Status: head.StatusCode()}
+	for name, value := range head.All() {
+		a.Fields = append(a.Fields, Field{string(name), string(value)})
+	}
+	return a, nil
+}
+
+// ParseHead returns the status and the fields of the final answer that begins with data. It
+// reports false if its head is not complete or not valid. The answer has no body.
+func ParseHead(data []byte) (*Answer, bool) {
+	var head fasthttp.ResponseHeader
+	a, err := parseHead(bufio.NewReaderSize(bytes.NewReader(data), len(data)+1), &head)
+	return a, err == nil
+}
+
 // isTimeout reports whether a read of a head timed out. fasthttp.ErrTimeout is not
 // a net.Error.
 func isTimeout(err error) bool {
@@ -373,6 +425,9 @@
 // earlier exchange. Without an id it may then be a repeated answer to that exchange.
 func (a *Answer) OnReusedConn() bool { return a.conn.reused }
 
+// Via names the host through which the exchange went; empty if it was direct.
+func (a *Answer) Via() string { return a.conn.via }
+
 // DisableReuse makes Close close the connection. It is for a peer that broke the
 // protocol.
 func (a *Answer) DisableReuse() { a.reusable = false }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -51,6 +51,8 @@
 	maxIdle int
 	// written counts the bytes that the kernel has taken.
 	written atomic.Int64
+	// via names the host through which the connection goes; empty for a direct one.
+	via string
 	// onSilence is nil or called when the read deadline has passed, see Read.
 	onSilence func() time.Duration
 	// open counts the open connections, among them this one until closed is set.
@@ -102,6 +104,12 @@
 	}
 }
 
+// DialTCP opens a direct connection. idleTimeout is how long it may be idle between two
+// requests.
+func DialTCP(ctx context.Context, address string, timeout, idleTimeout time.Duration) (net.Conn, error) {
+	return dialer(timeout, idleTimeout).DialContext(cancelOnly{ctx}, "tcp", address)
+}
+
 // abort closes the connection with a reset. Bytes that wait in the send buffer,
 // such as during a network partition, are dropped instead of sent once the peer
 // can be reached again.
@@ -121,6 +129,7 @@
 // pool keeps idle connections by address. It is safe for concurrent use.
 type pool struct {
 	dial        func(ctx context.Context, address string) (net.Conn, error)
+	mayUseIdle  func(address string, idleAt time.Time) bool
 	idleTimeout time.Duration
 	maxIdle     int
 	maxOpen     int
@@ -155,6 +164,9 @@
 	}
 	p.open.Add(1)
 	c := &conn{Conn: nc, address: address, open: &p.open}
+	if indirect, ok := nc.(Indirect); ok {
+		c.via = indirect.Via()
+	}
 	c.r = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -167,7 +179,7 @@
 	for n := len(p.idle[address]); n > 0; n = len(p.idle[address]) {
 		c := p.idle[address][n-1]
 		p.idle[address] = p.idle[address][:n-1]
-		if time.Since(c.idleAt) < p.idleLimit(c) && !c.stale() {
+		if time.Since(c.idleAt) < p.idleLimit(c) && p.mayUseIdle(address, c.idleAt) && !c.stale() {
 			c.reused = true
 			return c
 		}
@@ -194,7 +206,7 @@
 	if c.maxIdle > 0 {
 		limit = min(limit, c.maxIdle)
 	}
-	if p.closed || len(p.idle[c.address]) >= limit || p.maxOpen > 0 && p.open.Load() > int64(p.maxOpen) {
+	if p.closed || c.via != "" || len(p.idle[c.address]) >= limit || p.maxOpen > 0 && p.open.Load() > int64(p.maxOpen) {
 		_ = c.Close()
 		return
 	}
--- a/pkg/upstream/message.go
+++ b/pkg/upstream/message.go
@@ -74,7 +74,10 @@
 	Target string
 	Host   string
 	Fields Fields
-	Body   []byte
+	// FieldsAtSend, if set, returns the fields once the connection is open, instead of
+	// Fields: they may state the time that is left.
+	FieldsAtSend func() Fields
+	Body         []byte
 	// HeadTimeout bounds the time from the send to the head of the answer, in
 	// addition to the context's deadline; zero means no bound.
 	HeadTimeout time.Duration
@@ -131,7 +134,11 @@
 	b = append(b, r.Target...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = appendField(b, "Host", r.Host)
-	for _, f := range r.Fields {
+	fields := r.Fields
+	if r.FieldsAtSend != nil {
+		fields = r.FieldsAtSend()
+	}
+	for _, f := range fields {
 		if !strings.EqualFold(f.Name, "host") {
 			b = appendField(b, f.Name, f.Value)
 		}
