relayhost, relay: a host without a path to endpoints connects through another host

Cause: each choice of an endpoint ended in a connection of this host alone; nothing could use the paths that the other hosts had. Class: a decision that takes the view of one host for the state of the fleet. The host also took endpoints for failed that only it could not reach, ejected them and told the others.

All connections to endpoints are now opened by tunnel.Opener. Silence on a path that was found lost since counts neither against the endpoint nor as a reason to wait for it. A helping host checks that it knows the endpoint as live, unpaused and within its own reach, and applies what the answers that it passes on state of their endpoints. Descriptors: 6% for tunnels, taken from those for endpoints (1,131 instead of 1,365 of 4,100; TestSharesFollowMaxFDs states the new figures). A stop waits for tunnels as for requests.

--- a/pkg/descriptors/descriptors.go
+++ b/pkg/descriptors/descriptors.go
@@ -16,10 +16,12 @@
 	// callersShare and endpointsShare are the parts of the remaining descriptors. A
 	// request in progress takes one of each, and a connection between two requests only
 	// one of the callers' share. With 4,100 descriptors the callers' share is 2,340; that
-	// host has 2,100 connections of callers on a usual day. What is left is for listeners,
-	// operators, the platform and other hosts.
+	// host has 2,100 connections of callers on a usual day. tunnelsShare is for connections
+	// that are carried for other hosts, two for each. What is left is for listeners,
+	// operators and the platform.
 	callersShare   = 0.6
-	endpointsShare = 0.35
+	endpointsShare = 0.29
+	tunnelsShare   = 0.06
 	// operatorsShare is the part for each listener that does not serve callers, within
 	// the bounds below. Such a listener has a few connections.
 	operatorsShare = 0.02
@@ -28,8 +30,9 @@
 )
 
 // Shares are the numbers of connections that a process may have open. Operators is that
-// of each listener for operators, metrics or readiness checks.
-type Shares struct{ Callers, Endpoints, Operators int }
+// of each listener for operators, metrics or readiness checks. Tunnels is the number of
+// tunnels that may be carried for other hosts, of two connections each.
+type Shares struct{ Callers, Endpoints, Operators, Tunnels int }
 
 // Limit returns the number of descriptors that the process may have open: the smaller
 // of its RLIMIT_NOFILE and maxFDs, if that is not zero.
@@ -51,6 +54,7 @@
 	return Shares{
 		Callers:   max(1, int(callersShare*sockets)),
 		Endpoints: max(1, int(endpointsShare*sockets)),
+		Tunnels:   max(1, int(tunnelsShare*sockets/2)),
 		Operators: min(max(int(operatorsShare*sockets), minOperators), maxOperators),
 	}
 }
--- a/pkg/descriptors/descriptors_test.go
+++ b/pkg/descriptors/descriptors_test.go
@@ -14,11 +14,11 @@
 func TestShares(t *testing.T) {
 	for _, limit := range []int{64, 256, 1024, 4100, 20_000, 1 << 20} {
 		s := Divide(limit)
-		if used := s.Callers + s.Endpoints + 2*s.Operators; used >= limit {
+		if used := s.Callers + s.Endpoints + 2*s.Operators + 2*s.Tunnels; used >= limit {
 			t.Errorf("limit %d: the shares %+v take %d", limit, s, used)
 		}
 	}
-	if s := Divide(4100); s.Callers < 2100 || s.Callers+s.Endpoints+2*s.Operators > 3900 {
+	if s := Divide(4100); s.Callers < 2100 || s.Callers+s.Endpoints+2*s.Operators+2*s.Tunnels > 3900 {
 		t.Errorf("shares %+v of 4100", s)
 	}
 }
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -341,6 +341,21 @@
 	return m, ok
 }
 
+// FindAddress returns a member at the address and whether there is one. A live one is
+// preferred: the address may be that of an endpoint that is gone.
+func (r *Registry) FindAddress(address string) (Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found Member
+	known := false
+	for _, m := range r.members {
+		if m.Address == address && (!known || m.State == endpoint.StateLive) {
+			found, known = m, true
+		}
+	}
+	return found, known
+}
+
 // Len returns the number of members of all services.
 func (r *Registry) Len() int {
 	r.mu.Lock()
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -500,6 +500,23 @@
 	return members
 }
 
+// PeerAddress is the address of another host.
+type PeerAddress struct{ Host, Domain, Address string }
+
+// LivePeers returns the addresses of the other hosts that were heard recently, in no
+// particular order.
+func (x *Exchange) LivePeers() []PeerAddress {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var live []PeerAddress
+	for name, p := range x.peers {
+		if time.Since(p.heardAt) < x.live() {
+			live = append(live, PeerAddress{name, p.domain, p.address.String()})
+		}
+	}
+	return live
+}
+
 // Run sends and receives until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/pkg/pathwatch/pathwatch.go
+++ b/pkg/pathwatch/pathwatch.go
@@ -51,9 +51,9 @@
 // lostPath is what is known about an endpoint that only other hosts reach.
 type lostPath struct {
 	loss Loss
-	// since is when the first attempt that failed began.
-	since    time.Time
-	probedAt time.Time
+	// since is when the first attempt that failed began, foundAt when the loss was found.
+	since, foundAt time.Time
+	probedAt       time.Time
 }
 
 // Watch follows the paths of one host. It is safe for concurrent use.
@@ -65,10 +65,11 @@
 	// openedAt is when a direct connection was last opened, answeredAt when the last answer
 	// on one arrived.
 	openedAt, answeredAt time.Time
-	// cutOffSince is zero unless the host counts as cut off, by cutOffLoss.
-	cutOffSince time.Time
-	cutOffLoss  Loss
-	probedAt    time.Time
+	// cutOffSince is zero unless the host counts as cut off, by cutOffLoss, as was found at
+	// cutOffFoundAt.
+	cutOffSince, cutOffFoundAt time.Time
+	cutOffLoss                 Loss
+	probedAt                   time.Time
 	// unanswered holds when the first exchange without an answer began, by the address of
 	// its endpoint, since answeredAt.
 	unanswered map[string]time.Time
@@ -122,12 +123,12 @@
 }
 
 // PeerReached records that another host reached the endpoint although the direct attempt
-// that began at a time failed. It reports whether the host counts as cut off from then on.
-func (w *Watch) PeerReached(address string, loss Loss, began time.Time) (cutOff bool) {
+// that began at a time failed. It reports whether the host counts as cut off from now on.
+func (w *Watch) PeerReached(address string, loss Loss, began, now time.Time) (cutOff bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if l := w.lost[address]; l == nil || l.loss != loss {
-		w.lost[address] = &lostPath{loss: loss, since: began}
+		w.lost[address] = &lostPath{loss: loss, since: began, foundAt: now}
 	}
 	if !w.cutOffSince.IsZero() {
 		return false
@@ -149,7 +150,7 @@
 	if n < cutOffThreshold {
 		return false
 	}
-	w.cutOffSince, w.cutOffLoss = earliest, loss
+	w.cutOffSince, w.cutOffFoundAt, w.cutOffLoss = earliest, now, loss
 	return true
 }
 
@@ -164,6 +165,17 @@
 	return w.cutOffSince, !w.cutOffSince.IsZero()
 }
 
+// LostAfter reports whether the path to the endpoint is lost and that was found after a
+// time. A request that was sent directly then may have hung since.
+func (w *Watch) LostAfter(address string, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if l := w.lost[address]; l != nil && l.foundAt.After(at) {
+		return true
+	}
+	return !w.cutOffSince.IsZero() && w.cutOffFoundAt.After(at)
+}
+
 // CutOff reports whether the host counts as cut off from all endpoints.
 func (w *Watch) CutOff() bool {
 	w.mu.Lock()
--- a/pkg/pathwatch/pathwatch_test.go
+++ b/pkg/pathwatch/pathwatch_test.go
@@ -21,7 +21,7 @@
 func TestOneLostPathIsNoCut(t *testing.T) {
 	w := New()
 	for i := range 5 {
-		if w.PeerReached("a", NotOpened, at(100*i)) {
+		if w.PeerReached("a", NotOpened, at(100*i), at(100*i)) {
 			t.Error("cut off by one endpoint")
 		}
 	}
@@ -37,7 +37,7 @@
 	for i := range 5 {
 		began := at(1000 * i)
 		w.Opened("z", began.Add(50*time.Millisecond))
-		if w.PeerReached(fmt.Sprint("a", i), NotOpened, began) {
+		if w.PeerReached(fmt.Sprint("a", i), NotOpened, began, began) {
 			t.Error("cut off although a connection was opened after the attempt began")
 		}
 	}
@@ -51,17 +51,20 @@
 func TestCutAppliesToAllEndpoints(t *testing.T) {
 	w := New()
 	w.Opened("z", at(0))
-	w.PeerReached("a", NotOpened, at(100))
-	if !w.PeerReached("b", NotOpened, at(200)) {
+	w.PeerReached("a", NotOpened, at(100), at(100))
+	if !w.PeerReached("b", NotOpened, at(200), at(200)) {
 		t.Fatal("not cut off")
 	}
-	if w.PeerReached("c", NotOpened, at(300)) {
+	if w.PeerReached("c", NotOpened, at(300), at(300)) {
 		t.Error("the same cut begins twice")
 	}
 	since, lost := w.Lost("z")
 	if !lost || !since.Equal(at(100)) {
 		t.Errorf("z is lost: %v, since %v", lost, since)
 	}
+	if !w.LostAfter("z", at(150)) || w.LostAfter("z", at(250)) || !w.LostAfter("a", at(50)) {
+		t.Error("a request that was sent before the cut was found does not count as hanging, or a later one does")
+	}
 	if w.MayUseIdle("z", at(90)) || !w.MayUseIdle("z", at(110)) {
 		t.Error("a connection idle since before the cut is used, or one used since is not")
 	}
@@ -71,8 +74,8 @@
 // goes back with all connections at once.
 func TestEndOfCut(t *testing.T) {
 	w := New()
-	w.PeerReached("a", NotOpened, at(0))
-	w.PeerReached("b", NotOpened, at(0))
+	w.PeerReached("a", NotOpened, at(0), at(0))
+	w.PeerReached("b", NotOpened, at(0), at(0))
 	w.Answered("c", at(50))
 	if !w.CutOff() {
 		t.Error("an answer on an open connection ends a cut in which none can be opened")
@@ -89,8 +92,8 @@
 // nothing, and that ends with the next one that opens.
 func TestSilentPathsNeedAnAnswer(t *testing.T) {
 	w := New()
-	w.PeerReached("a", NotAnswered, at(0))
-	w.PeerReached("b", NotAnswered, at(0))
+	w.PeerReached("a", NotAnswered, at(0), at(0))
+	w.PeerReached("b", NotAnswered, at(0), at(0))
 	w.Opened("a", at(10))
 	if !w.CutOff() || !w.isLost("a") {
 		t.Error("an open connection ends a cut in which nothing is answered")
@@ -129,8 +132,8 @@
 // against more than one in each interval.
 func TestProbesTakeTurns(t *testing.T) {
 	w := New()
-	w.PeerReached("a", NotOpened, at(0))
-	w.PeerReached("b", NotAnswered, at(0))
+	w.PeerReached("a", NotOpened, at(0), at(0))
+	w.PeerReached("b", NotAnswered, at(0), at(0))
 	probed := map[string]Loss{}
 	probes := 0
 	for ms := 0; ms < 1000; ms += 10 {
@@ -153,8 +156,8 @@
 // endpoints that showed it are gone.
 func TestCutEndsWithItsLastEndpoint(t *testing.T) {
 	w := New()
-	w.PeerReached("a", NotOpened, at(0))
-	w.PeerReached("b", NotOpened, at(0))
+	w.PeerReached("a", NotOpened, at(0), at(0))
+	w.PeerReached("b", NotOpened, at(0), at(0))
 	w.Forget("a")
 	if !w.CutOff() {
 		t.Error("the cut ends although b can be probed")
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// ObserveAnswer applies what the head of an answer that passed through this host for
+// another one states about its endpoint.
+func (h *Handler) ObserveAnswer(m fleet.Member, answer *upstream.Answer) {
+	if statesOwnCondition(answer, nil) {
+		h.applyNotices(m, answer.Status, h.Codec.DecodeAnswerHeader(answer))
+	}
+}
+
 // pause returns the time for which the endpoint of an answer wants no requests.
 func (a AnswerHeader) pause(status int) time.Duration {
 	if status != 503 {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -59,6 +59,9 @@
 	// Quotas decides on the requests of teams that have a quota.
 	Quotas *quotashare.Service
 	Client *upstream.Client
+	// PathLostAfter reports whether this host has lost its path to an endpoint's address and
+	// has found that after a time. A request that was sent then may hang on that path.
+	PathLostAfter func(address string, at time.Time) bool
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -119,11 +119,15 @@
 
 // exchangeWith is send without the record of whether the request may have run.
 func (h *Handler) exchangeWith(x *exchange, m fleet.Member, opts ForwardOptions, limit headLimit, newConn bool) (*upstream.Answer, error) {
-	x.attempt = attempt{}
-	opts.EndpointID, opts.Team, opts.Remaining = m.ID, x.team, x.remaining()
+	x.attempt = attempt{sentAt: time.Now()}
+	opts.EndpointID, opts.Team = m.ID, x.team
 	req := &upstream.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
-		Fields: h.Codec.Fields(&x.call, opts), Body: x.call.Body,
+		FieldsAtSend: func() upstream.Fields {
+			opts.Remaining = x.remaining()
+			return h.Codec.Fields(&x.call, opts)
+		},
+		Body:        x.call.Body,
 		HeadTimeout: limit.timeout, OnSilence: x.onSilence(m, limit.silence), NewConn: newConn, MaxIdle: h.maxIdle(x),
 		Belongs: func(answer *upstream.Answer) bool { return belongsTo(h.Codec.DecodeAnswerHeader(answer), x.call.ID) },
 	}
@@ -142,6 +146,9 @@
 		return nil, err
 	}
 	x.attempt.answered = true
+	if via := answer.Via(); via != "" {
+		x.logFields["via"] = via
+	}
 	header := h.Codec.DecodeAnswerHeader(answer)
 	switch {
 	case !belongsTo(header, x.call.ID):
@@ -200,6 +207,8 @@
 	case descriptors.Exhausted(err):
 		// This host could not open a connection, which says nothing of the endpoint.
 		return
+	case errors.Is(err, upstream.ErrNoPath):
+		return
 	case notSent(err):
 		kind = outlier.Unreachable
 		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
@@ -211,6 +220,9 @@
 		// other idle connections may be dead as well.
 		kind = outlier.TimedOut
 		h.Client.CloseIdle(m.Address)
+		if x.onLostPath(m) {
+			return
+		}
 	case provesNotRun(err) || errors.Is(err, errUnattributed):
 		// An endpoint that is full or was ordered to stop taking work has not failed.
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalCooldown))
--- a/pkg/relay/silence.go
+++ b/pkg/relay/silence.go
@@ -18,6 +18,7 @@
 
 // attempt is the state of the current send of a request.
 type attempt struct {
+	sentAt time.Time
 	// retryTaken says that the silent endpoint was given up and that the retry has
 	// been taken from the retry budget.
 	retryTaken bool
@@ -37,13 +38,16 @@
 			return 0
 		}
 		// A request that has become suspected meanwhile would be refused by itself.
-		if current(now).MayGiveUp() && !x.handler.Guard.Harmful(x.crashFeatures()) && x.handler.Budget.Spend(x.service, now) {
+		silence, lost := current(now), x.onLostPath(m)
+		// The same endpoint may answer through another host.
+		silence.Alternative = silence.Alternative || lost
+		if silence.MayGiveUp() && !x.handler.Guard.Harmful(x.crashFeatures()) && x.handler.Budget.Spend(x.service, now) {
 			x.attempt.retryTaken = true
 			x.silentLeft++
 			x.handler.Metrics.SilentLeft.Add(1)
 			return 0
 		}
-		if !x.attempt.silenceRecorded {
+		if !x.attempt.silenceRecorded && !lost {
 			x.attempt.silenceRecorded = true
 			x.handler.Metrics.SilentKept.Add(1)
 			kind := outlier.TimedOut
@@ -58,6 +62,12 @@
 	}
 }
 
+// onLostPath reports whether the current send to m may hang on a path that has been lost
+// since. Its silence says nothing about m.
+func (x *exchange) onLostPath(m fleet.Member) bool {
+	return x.handler.PathLostAfter(m.Address, x.attempt.sentAt)
+}
+
 // takeRetry takes a retry from the retry budget and reports whether there was one.
 // It succeeds if the retry was taken when a silent endpoint was given up.
 func (x *exchange) takeRetry() bool {
--- a/pkg/relayhost/connections_test.go
+++ b/pkg/relayhost/connections_test.go
@@ -33,7 +33,7 @@
 // TestSharesFollowMaxFDs guards against a setting that does not reach the limits.
 func TestSharesFollowMaxFDs(t *testing.T) {
 	h := New(Settings{MemoryBytes: 256 << 20, MaxFDs: 1000}, Adapter{}, logging.Discard())
-	if h.shares.Callers != 480 || h.shares.Endpoints != 280 {
+	if h.shares.Callers != 480 || h.shares.Endpoints != 231 || h.shares.Tunnels != 24 {
 		t.Errorf("shares %+v of 1000", h.shares)
 	}
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -24,12 +24,14 @@
 	"github.com/clementineshed/clementineshed/pkg/membudget"
 	"github.com/clementineshed/clementineshed/pkg/outlier"
 	"github.com/clementineshed/clementineshed/pkg/pace"
+	"github.com/clementineshed/clementineshed/pkg/pathwatch"
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/quarantine"
 	"github.com/clementineshed/clementineshed/pkg/quotashare"
 	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/tunnel"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
@@ -53,7 +55,7 @@
 	operatorIdleTimeout = 20 * time.Second
 )
 
-// Adapter connects a host to its platform. All fields but DialEndpoint must be set.
+// Adapter connects a host to its platform. All fields must be set unless stated otherwise.
 type Adapter struct {
 	Codec relay.Codec
 	// KeyedLog gives access to the topics named below.
@@ -71,7 +73,7 @@
 	// StoreCalls counts the calls to the store by their name, StoreEras its eras.
 	StoreCalls *expvar.Map
 	StoreEras  *logservice.Eras
-	// DialEndpoint opens connections to endpoints; nil means TCP.
+	// DialEndpoint opens a direct connection to an endpoint; nil means by TCP.
 	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -97,6 +99,11 @@
 	// evidenceWake starts the next round of runEvidence.
 	evidenceWake chan bool
 	client       *upstream.Client
+	// paths follows whether this host reaches the endpoints, opener opens the connections
+	// to them, and tunnels carries those of other hosts.
+	paths        *pathwatch.Watch
+	opener       *tunnel.Opener
+	tunnels      *tunnel.Server
 	handler      *relay.Handler
 	metrics      *relay.Metrics
 	quotas       *quotashare.Service
@@ -133,7 +140,9 @@
 	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), unnamed: unnamedEndpoints{last: map[string]endpointRecord{}}, pace: pace.NewLimiter(settings.Host),
 		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
-	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory, Dial: adapter.DialEndpoint})
+	h.initPaths()
+	h.client = upstream.New(upstream.Options{IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory, Dial: h.opener.Open, MayUseIdle: h.paths.MayUseIdle,
+		OnSent: func(address string) { h.paths.Sent(address, time.Now()) }, OnAnswered: h.opener.Answered})
 	h.models = placement.NewModels(h.pace)
 	h.balancer = placement.NewBalancer(settings.Domain)
 	h.balancer.SetLimiter(h.pace)
@@ -145,7 +154,7 @@
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: h.balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Client: h.client, LiveHosts: h.liveHosts,
-		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
+		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, PathLostAfter: h.paths.LostAfter, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.conns.Limit(h.shares.Callers, logger)
@@ -238,6 +247,10 @@
 		return errors.Wrap(err, "listen for load reports of other hosts")
 	}
 	defer func() { _ = peerConn.Close() }()
+	tunnels, err := net.Listen("tcp", net.JoinHostPort(h.settings.BindIP, strconv.Itoa(h.settings.PeerPort)))
+	if err != nil {
+		return errors.Wrap(err, "listen for tunnels of other hosts")
+	}
 	h.exchange = loadshare.New(loadshare.Options{
 		Host: h.settings.Host, Domain: h.settings.Domain, Conn: peerConn, LinkBytesPerSecond: h.settings.LinkBytesPerSecond,
 		OnSend: h.applyPeerSend, OnDecoded: h.applyPeerDecode, OnPrefilled: h.applyPeerPrefill, OnCached: h.applyCached, OnBlock: h.blockEngine, OnEject: h.applyPeerEjection, OnLeaving: h.applyPeerLeaving, OnPace: h.applyPeerPace, OnTeamWork: h.applyPeerTeamWork,
@@ -263,6 +276,8 @@
 	wg.Go(func() { h.runTeams(workCtx) })
 	wg.Go(func() { h.recoverCaches(workCtx) })
 	wg.Go(func() { h.serveReady(ready) })
+	wg.Go(func() { h.serveTunnels(tunnels) })
+	wg.Go(func() { h.opener.Run(workCtx) })
 	if metrics != nil {
 		wg.Go(func() { h.serveMetrics(metrics) })
 	}
@@ -284,10 +299,13 @@
 	if metrics != nil {
 		_ = metrics.Close()
 	}
+	_ = tunnels.Close()
+	h.tunnels.Close()
 	h.client.Close()
 	h.handler.Wait()
 	h.guard.Wait()
 	wg.Wait()
+	h.opener.Wait()
 	h.log.Info("host_stopped")
 	return nil
 }
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -81,6 +81,7 @@
 	line("requests_read_in_close", h.conns.ReadInClose.Value())
 	h.connectionMetrics(line)
 	line("connections_dialed", h.client.Dials())
+	h.pathMetrics(line)
 	for _, s := range h.pace.Limited() {
 		line(fmt.Sprintf("endpoint_window{endpoint=%q,service=%q,reason=%q}", s.ID, s.Service, s.Reason.String()), s.Window)
 	}
--- a/pkg/relayhost/stop.go
+++ b/pkg/relayhost/stop.go
@@ -64,6 +64,7 @@
 	h.log.WithField("in_flight", h.handler.InFlight()).Info("host_draining")
 	h.draining.Store(true)
 	h.handler.Drain()
+	h.tunnels.Stop()
 	serving := min(lastRequestTime, time.Duration(lastRequestShare*float64(h.settings.Grace)))
 	time.Sleep(serving)
 	h.handler.Stop()
@@ -80,9 +81,10 @@
 		"read_in_close": h.conns.ReadInClose.Value()}).Info("host_drained")
 }
 
-// awaitConnections waits until the connections of callers are closed, at most until end.
+// awaitConnections waits until the connections of callers are closed and the tunnels of
+// other hosts have ended, at most until end.
 func (h *Host) awaitConnections(end time.Time) {
-	for !h.conns.Done() && time.Now().Before(end) {
+	for (!h.conns.Done() || h.tunnels.Open() > 0) && time.Now().Before(end) {
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/pkg/tunnel/opener.go
+++ b/pkg/tunnel/opener.go
@@ -181,7 +181,7 @@
 }
 
 func (o *Opener) peerReached(address string, loss pathwatch.Loss, began time.Time, cause error) {
-	cutOff := o.opts.Watch.PeerReached(address, loss, began)
+	cutOff := o.opts.Watch.PeerReached(address, loss, began, time.Now())
 	fields := o.opts.Log.WithFields(log.Fields{"address": address, "loss": loss.String(), "error": cause})
 	fields.Debug("path_lost")
 	if cutOff {
