tunnel: bound the connections for which other hosts are asked at the same time

A host without processor time opens all its connections slowly. Each that took 120 ms made it ask up to three other hosts for another one, which takes time as well. Not seen in a run of the system: found by reading. At most eight attempts are in doubt at a time; two are enough to find a cut.

--- a/pkg/tunnel/opener.go
+++ b/pkg/tunnel/opener.go
@@ -27,6 +27,10 @@
 	maxHelpers = 3
 	// openTimeout bounds the opening of one connection by all ways together.
 	openTimeout = 450 * time.Millisecond
+	// maxDoubts bounds the direct attempts that are slow or have failed and for which other
+	// hosts are asked at the same time. A host without processor time opens all its
+	// connections slowly, and must not open more of them for that.
+	maxDoubts = 8
 	// probeCheckInterval is how often it is checked whether a path is to be probed.
 	probeCheckInterval = 50 * time.Millisecond
 	// answerTimeout bounds a health check that shows whether a connection carries answers.
@@ -60,6 +64,8 @@
 	opened expvar.Int
 	failed expvar.Map
 	wg     sync.WaitGroup
+	// doubts holds an element for each direct attempt for which other hosts are asked.
+	doubts chan struct{}
 
 	randMu sync.Mutex
 	random *rand.Rand // guarded by randMu
@@ -68,7 +74,7 @@
 // NewOpener returns an opener. random is the source of the order in which hosts are asked;
 // the opener owns it.
 func NewOpener(opts OpenerOptions, random *rand.Rand) *Opener {
-	return &Opener{opts: opts, helpers: pathwatch.NewHelpers(), random: random}
+	return &Opener{opts: opts, helpers: pathwatch.NewHelpers(), doubts: make(chan struct{}, maxDoubts), random: random}
 }
 
 // Counts returns how many connections were opened through other hosts, and how many
@@ -101,14 +107,21 @@
 			return r.conn, nil
 		}
 		// Another host shows whether the endpoint is down or the path to it is lost.
-		through := o.startThroughHosts(ctx, to, direct.began)
+		through, ok := o.startThroughHosts(ctx, to, direct.began)
+		if !ok {
+			return nil, r.err
+		}
 		return o.afterDirectFailure(ctx, to, direct.began, r.err, through)
 	case <-ctx.Done():
 		o.discard(direct.result)
 		return nil, context.Cause(ctx)
 	case <-timer.C:
-		return o.race(ctx, to, direct, o.startThroughHosts(ctx, to, direct.began))
 	}
+	through, ok := o.startThroughHosts(ctx, to, direct.began)
+	if !ok {
+		return o.awaitDirect(ctx, direct)
+	}
+	return o.race(ctx, to, direct, through)
 }
 
 // afterDirectFailure waits for the connection through another host after the direct attempt
@@ -230,17 +243,23 @@
 	return a
 }
 
-// startThroughHosts asks other hosts for a connection, at most until openTimeout after the
-// direct attempt began.
-func (o *Opener) startThroughHosts(ctx context.Context, to target, began time.Time) <-chan dialResult {
+// startThroughHosts asks other hosts for a connection because a direct attempt is in doubt,
+// at most until openTimeout after that began. It reports false if too many are in doubt.
+func (o *Opener) startThroughHosts(ctx context.Context, to target, began time.Time) (<-chan dialResult, bool) {
+	select {
+	case o.doubts <- struct{}{}:
+	default:
+		return nil, false
+	}
 	result := make(chan dialResult, 1)
 	o.wg.Go(func() {
+		defer func() { <-o.doubts }()
 		hostsCtx, cancel := context.WithDeadline(ctx, began.Add(openTimeout))
 		defer cancel()
 		c, err := o.askHosts(hostsCtx, to)
 		result <- dialResult{c, err}
 	})
-	return result
+	return result, true
 }
 
 // askHosts asks other hosts to open a connection, one after the other, and the next one
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"expvar"
 	"io"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -476,3 +478,34 @@
 	h.setDirect(directTCP)
 	eventually(t, "the paths are sound again", func() bool { return !h.watch.CutOff() && h.watch.LostPaths() == 0 })
 }
+
+// TestSlowHostAsksFewTimes guards against a host without processor time, whose connections
+// all open slowly, that opens several times as many for that.
+func TestSlowHostAsksFewTimes(t *testing.T) {
+	helper := newHelper(t, 1000)
+	h := newHost(t, helper)
+	helper.check.Store(NotServing)
+	endpoint := listen(t, echo)
+	h.setDirect(func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(2 * hedgeDelay)
+		return directTCP(ctx, address)
+	})
+	var wg sync.WaitGroup
+	for range 20 * maxDoubts {
+		wg.Go(func() {
+			if via, _, err := h.open(t, endpoint); err != nil || via != "" {
+				t.Errorf("via %q, %v", via, err)
+			}
+		})
+	}
+	wg.Wait()
+	_, refused := helper.server.Served()
+	asked := int64(0)
+	refused.Do(func(kv expvar.KeyValue) {
+		n, _ := strconv.ParseInt(kv.Value.String(), 10, 64)
+		asked += n
+	})
+	if asked > 4*maxDoubts {
+		t.Errorf("%d requests to the other host for %d connections", asked, 20*maxDoubts)
+	}
+}
