pathwatch, fleet, relayhost: choosing a helping host and finding an endpoint cost little at many hosts

Found by reading for the target size of 1,500 hosts and 10,000 endpoints: each connection through another host sorted and printed the addresses of all hosts, and both ends searched all endpoints for an address. The order needs one pass, addresses stay binary, and endpoints are indexed by address until one changes. The loop that checks paths wakes up eight times a second instead of twenty.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -94,6 +94,8 @@
 	// clears it; an announcement that only repeats the last one does not, so that
 	// the cached members may have an earlier Sequence.
 	membersByService map[string][]Member
+	// membersByAddress caches what FindAddress returns; nil if it must be made anew.
+	membersByAddress map[string]Member
 }
 
 // instance is one start of an endpoint.
@@ -178,7 +180,7 @@
 	}
 	r.members[m.ID] = m
 	if change != Unchanged {
-		clear(r.membersByService)
+		r.clearCaches()
 		r.version++
 	}
 	return change
@@ -201,7 +203,7 @@
 	}
 	m.State = endpoint.StateLeaving
 	r.members[id] = m
-	clear(r.membersByService)
+	r.clearCaches()
 	r.version++
 	return true
 }
@@ -247,7 +249,7 @@
 	delete(r.misdirected, id)
 	delete(r.lapsedAt, id)
 	delete(r.obscuredAt, id)
-	clear(r.membersByService)
+	r.clearCaches()
 	r.version++
 }
 
@@ -346,14 +348,22 @@
 func (r *Registry) FindAddress(address string) (Member, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var found Member
-	known := false
-	for _, m := range r.members {
-		if m.Address == address && (!known || m.State == endpoint.StateLive) {
-			found, known = m, true
+	if r.membersByAddress == nil {
+		r.membersByAddress = make(map[string]Member, len(r.members))
+		for _, m := range r.members {
+			if _, found := r.membersByAddress[m.Address]; !found || m.State == endpoint.StateLive {
+				r.membersByAddress[m.Address] = m
+			}
 		}
 	}
-	return found, known
+	m, found := r.membersByAddress[address]
+	return m, found
+}
+
+// clearCaches must be called with mu held when a member has changed.
+func (r *Registry) clearCaches() {
+	clear(r.membersByService)
+	r.membersByAddress = nil
 }
 
 // Len returns the number of members of all services.
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -315,3 +315,29 @@
 		t.Errorf("paused until %v after the restart", r.PausedUntil(restarted))
 	}
 }
+
+// TestFindAddressPrefersTheLiveMember guards against an endpoint that is taken for the one
+// that had its address before, and against a list that is out of date.
+func TestFindAddressPrefersTheLiveMember(t *testing.T) {
+	r := NewRegistry()
+	at := func(id string, state endpoint.State) Member {
+		m := member(id, 1, 1, state)
+		m.Address = "10.0.0.1:80"
+		return m
+	}
+	if _, found := r.FindAddress("10.0.0.1:80"); found {
+		t.Error("found without members")
+	}
+	r.Announce(at("old", endpoint.StateLeaving))
+	if m, found := r.FindAddress("10.0.0.1:80"); !found || m.ID != "old" {
+		t.Errorf("found %v, %v", m.ID, found)
+	}
+	r.Announce(at("new", endpoint.StateLive))
+	if m, _ := r.FindAddress("10.0.0.1:80"); m.ID != "new" {
+		t.Errorf("found %v", m.ID)
+	}
+	r.MarkLeaving("new", 1)
+	if m, _ := r.FindAddress("10.0.0.1:80"); m.State == endpoint.StateLive {
+		t.Error("a member that leaves is live")
+	}
+}
--- a/pkg/loadshare/loadshare.go
+++ b/pkg/loadshare/loadshare.go
@@ -501,17 +501,20 @@
 }
 
 // PeerAddress is the address of another host.
-type PeerAddress struct{ Host, Domain, Address string }
+type PeerAddress struct {
+	Host, Domain string
+	Address      netip.AddrPort
+}
 
 // LivePeers returns the addresses of the other hosts that were heard recently, in no
 // particular order.
 func (x *Exchange) LivePeers() []PeerAddress {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var live []PeerAddress
+	live := make([]PeerAddress, 0, len(x.peers))
 	for name, p := range x.peers {
 		if time.Since(p.heardAt) < x.live() {
-			live = append(live, PeerAddress{name, p.domain, p.address.String()})
+			live = append(live, PeerAddress{name, p.domain, p.address})
 		}
 	}
 	return live
--- a/pkg/pathwatch/helpers.go
+++ b/pkg/pathwatch/helpers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -17,8 +18,8 @@
 // Helper is another entry host that may open connections for this one.
 type Helper struct {
 	Host, Domain string
-	// Address is the address at which it accepts tunnels, as IP:port.
-	Address string
+	// Address is the address at which it accepts tunnels.
+	Address netip.AddrPort
 }
 
 // Helpers orders the hosts that may help. It is safe for concurrent use.
@@ -55,21 +56,14 @@
 	h.mu.Lock()
 	available := slices.DeleteFunc(slices.Clone(hosts), func(o Helper) bool { return now.Before(h.unavailableUntil[o.Host]) })
 	h.mu.Unlock()
-	slices.SortFunc(available, func(a, b Helper) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
 	random.Shuffle(len(available), func(i, j int) { available[i], available[j] = available[j], available[i] })
-	slices.SortStableFunc(available, func(a, b Helper) int {
-		switch own := a.Domain == ownDomain; {
-		case own == (b.Domain == ownDomain):
-			return 0
-		case own:
-			return 1
+	order := make([]Helper, 0, limit)
+	for _, own := range []bool{false, true} {
+		for _, o := range available {
+			if len(order) < limit && (o.Domain == ownDomain) == own {
+				order = append(order, o)
+			}
 		}
-		return -1
-	})
-	return available[:min(limit, len(available))]
+	}
+	return order
 }
--- a/pkg/relayhost/paths.go
+++ b/pkg/relayhost/paths.go
@@ -56,9 +56,10 @@
 	if h.exchange == nil {
 		return nil
 	}
-	var hosts []pathwatch.Helper
-	for _, p := range h.exchange.LivePeers() {
-		hosts = append(hosts, pathwatch.Helper{Host: p.Host, Domain: p.Domain, Address: p.Address})
+	peers := h.exchange.LivePeers()
+	hosts := make([]pathwatch.Helper, 0, len(peers))
+	for _, p := range peers {
+		hosts = append(hosts, pathwatch.Helper(p))
 	}
 	return hosts
 }
--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -69,7 +69,7 @@
 // dial opens a tunnel through a host. Its error means that no byte has reached the
 // endpoint.
 func dial(ctx context.Context, h pathwatch.Helper, to target) (net.Conn, error) {
-	nc, err := upstream.DialTCP(ctx, h.Address, helperDialTimeout, tunnelIdleTimeout)
+	nc, err := upstream.DialTCP(ctx, h.Address.String(), helperDialTimeout, tunnelIdleTimeout)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %s", h.Host)
 	}
--- a/pkg/tunnel/opener.go
+++ b/pkg/tunnel/opener.go
@@ -32,7 +32,7 @@
 	// connections slowly, and must not open more of them for that.
 	maxDoubts = 8
 	// probeCheckInterval is how often it is checked whether a path is to be probed.
-	probeCheckInterval = 50 * time.Millisecond
+	probeCheckInterval = 125 * time.Millisecond
 	// answerTimeout bounds a health check that shows whether a connection carries answers.
 	answerTimeout = 500 * time.Millisecond
 )
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,7 +128,7 @@
 
 func (h *helper) dial(t *testing.T, endpoint string) (net.Conn, error) {
 	t.Helper()
-	return dial(context.Background(), pathwatch.Helper{Host: "b", Address: h.address}, target{endpoint, time.Now().Add(patience)})
+	return dial(context.Background(), pathwatch.Helper{Host: "b", Address: netip.MustParseAddrPort(h.address)}, target{endpoint, time.Now().Add(patience)})
 }
 
 func (h *helper) mustDial(t *testing.T, endpoint string) net.Conn {
@@ -323,7 +324,7 @@
 		_, _ = io.Copy(io.Discard, nc)
 		close(ended)
 	})
-	c, err := dial(context.Background(), pathwatch.Helper{Host: "b", Address: h.address}, target{endpoint, time.Now().Add(100 * time.Millisecond)})
+	c, err := dial(context.Background(), pathwatch.Helper{Host: "b", Address: netip.MustParseAddrPort(h.address)}, target{endpoint, time.Now().Add(100 * time.Millisecond)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -354,7 +355,7 @@
 		Domain: "east", Watch: h.watch, Log: logging.Discard(),
 		Hosts: func() (list []pathwatch.Helper) {
 			for i, helper := range helpers {
-				list = append(list, pathwatch.Helper{Host: string(rune('b' + i)), Domain: "west", Address: helper.address})
+				list = append(list, pathwatch.Helper{Host: string(rune('b' + i)), Domain: "west", Address: netip.MustParseAddrPort(helper.address)})
 			}
 			return list
 		},
