pathwatch: the only host that can help is asked again although it was slow

In a cut, with one other host and a load of 17, that host took more than 150 ms to accept one connection.

If no other host is left, one of those that could not help lately is asked. TestHelpersOfOtherDomainsComeFirst has the case; it fails without the change.

--- a/pkg/pathwatch/helpers.go
+++ b/pkg/pathwatch/helpers.go
@@ -49,13 +49,15 @@
 	h.unavailableUntil[host] = now.Add(d)
 }
 
-// Order returns the hosts to ask, at most limit, the first one first. Hosts that could not
-// help lately are left out. Hosts of other failure domains come before those of the own
-// one, which are likely to be cut off as well.
+// Order returns the hosts to ask, at most limit, the first one first. Hosts of other failure
+// domains come before those of the own one, which are likely to be cut off as well. Hosts
+// that could not help lately are left out; if there is no other, one of them is asked, which
+// may only have been slow.
 func (h *Helpers) Order(hosts []Helper, ownDomain string, limit int, random *rand.Rand, now time.Time) []Helper {
-	h.mu.Lock()
-	available := slices.DeleteFunc(slices.Clone(hosts), func(o Helper) bool { return now.Before(h.unavailableUntil[o.Host]) })
-	h.mu.Unlock()
+	available := h.available(hosts, now)
+	if len(available) == 0 {
+		available, limit = slices.Clone(hosts), min(limit, 1)
+	}
 	random.Shuffle(len(available), func(i, j int) { available[i], available[j] = available[j], available[i] })
 	order := make([]Helper, 0, limit)
 	for _, own := range []bool{false, true} {
@@ -67,3 +69,10 @@
 	}
 	return order
 }
+
+// available returns the hosts that have not lately been found unable to help.
+func (h *Helpers) available(hosts []Helper, now time.Time) []Helper {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(hosts), func(o Helper) bool { return now.Before(h.unavailableUntil[o.Host]) })
+}
--- a/pkg/pathwatch/pathwatch_test.go
+++ b/pkg/pathwatch/pathwatch_test.go
@@ -194,6 +194,11 @@
 	if order := h.Order(hosts, "east", 4, random, at(1001)); len(order) != 4 {
 		t.Errorf("order %v after that", order)
 	}
+	h.Unavailable("a", start)
+	h.Unavailable("d", start)
+	if order := h.Order(hosts, "east", 3, random, at(50)); len(order) != 1 {
+		t.Errorf("order %v with no host that could help lately", order)
+	}
 }
 
 // TestSoundForASecond guards against a host that speaks for endpoints though it has reached
