pathwatch: the end of a cut ends the detour to all endpoints that were lost in it

A probe that succeeded ended the detour to one endpoint; each other one waited for a probe of its own, 250 ms apart.

Paths that were lost in the cut count as sound once one is. Paths lost before the cut are still probed by themselves.

--- a/pkg/pathwatch/pathwatch.go
+++ b/pkg/pathwatch/pathwatch.go
@@ -13,6 +13,7 @@
 package pathwatch
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -111,6 +112,9 @@
 	if w.cutOffSince.IsZero() || w.cutOffLoss != loss {
 		return false
 	}
+	// Paths that were lost in the cut are likely to be back as well. The next connection to
+	// each shows it.
+	maps.DeleteFunc(w.lost, func(_ string, l *lostPath) bool { return l.loss == loss && !l.since.Before(w.cutOffSince) })
 	w.cutOffSince = time.Time{}
 	return true
 }
