relay, pathwatch: silence that may be that of the own paths is not told to other hosts

An ejection for silence is kept to itself while two endpoints have been silent for 100 ms and none has answered. TestSilenceOfSeveralEndpointsIsInDoubt; the effect on the other hosts was not yet measured.

--- a/pkg/pathwatch/pathwatch.go
+++ b/pkg/pathwatch/pathwatch.go
@@ -32,6 +32,9 @@
 	// may be silent for a second.
 	silentThreshold = 2
 	silentAfter     = 600 * time.Millisecond
+	// doubtAfter is how long so many endpoints must have been silent for their silence to
+	// be in doubt.
+	doubtAfter = 100 * time.Millisecond
 )
 
 // Loss is how a path is lost.
@@ -129,6 +132,20 @@
 	}
 }
 
+// InDoubt reports whether several endpoints have been silent for a while and none has
+// answered, so that their silence may be that of the paths.
+func (w *Watch) InDoubt(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	silent := 0
+	for _, at := range w.unanswered {
+		if now.Sub(at) >= doubtAfter {
+			silent++
+		}
+	}
+	return silent >= silentThreshold
+}
+
 // PeerReached records that another host reached the endpoint although the direct attempt
 // that began at a time failed. It reports whether the host counts as cut off from now on.
 func (w *Watch) PeerReached(address string, loss Loss, began, now time.Time) (cutOff bool) {
--- a/pkg/pathwatch/pathwatch_test.go
+++ b/pkg/pathwatch/pathwatch_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// TestSilenceOfSeveralEndpointsIsInDoubt guards against ejections that other hosts are told of
+// because this host's paths are lost, and against ones that are kept from them.
+func TestSilenceOfSeveralEndpointsIsInDoubt(t *testing.T) {
+	w := New()
+	w.Sent("a", at(0))
+	if w.InDoubt(at(5000)) {
+		t.Error("one silent endpoint is in doubt")
+	}
+	w.Sent("b", at(0))
+	if w.InDoubt(at(99)) || !w.InDoubt(at(100)) {
+		t.Error("two silent endpoints are in doubt at another time than after 100 ms")
+	}
+	w.Answered("c", at(200))
+	if w.InDoubt(at(5000)) {
+		t.Error("in doubt although an endpoint has answered")
+	}
+}
+
 // TestSilentPathsNeedAnAnswer guards against a cut in which connections open and carry
 // nothing, and that ends with the next one that opens.
 func TestSilentPathsNeedAnAnswer(t *testing.T) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -62,6 +62,9 @@
 	// PathLostAfter reports whether this host has lost its path to an endpoint's address and
 	// has found that after a time. A request that was sent then may hang on that path.
 	PathLostAfter func(address string, at time.Time) bool
+	// PathsInDoubt reports whether the silence of endpoints may be that of this host's paths,
+	// so that the other hosts are not told of it.
+	PathsInDoubt func() bool
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -254,7 +254,7 @@
 		h.Metrics.Ejections.Add(kind.String(), 1)
 		h.Pace.Limit(placement.PaceEndpoint(m), pace.Ejected, now)
 	}
-	if verdict.Reportable {
+	if verdict.Reportable && !(kind == outlier.TimedOut && h.PathsInDoubt()) {
 		h.OnEjected(m, kind)
 	}
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -154,7 +154,7 @@
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: h.balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Client: h.client, LiveHosts: h.liveHosts,
-		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, PathLostAfter: h.paths.LostAfter, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
+		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, PathLostAfter: h.paths.LostAfter, PathsInDoubt: func() bool { return h.paths.InDoubt(time.Now()) }, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.conns.Limit(h.shares.Callers, logger)
