tunnel: a test waits until a refused request has left its place

TestOutcomes failed twice at a load of 30, in about 30 runs: "busy for an endpoint whose process is gone". Its host has room for one tunnel, and the refused request before had not left it. That a place is free a moment after the answer is no promise; the check is as strict as before.

--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -272,6 +272,8 @@
 		if _, err := h.dial(t, endpoint); answerOf(err).Outcome != outcome || errors.Is(err, syscall.ECONNREFUSED) {
 			t.Errorf("%v, want %s", err, outcome)
 		}
+		// A request occupies its place until its connection is closed.
+		eventually(t, "the refused request is freed", func() bool { return h.server.Open() == 0 })
 	}
 	h.check.Store(Opened)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
