tunnel: on a path that is known to be lost, other hosts get more time to answer

Where there is another way, giving up early helps; where the path is lost there is none. Hosts get 350 ms for a connection, all together 1 s then; the time that is left is stated when the connection is open.

--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -16,7 +16,7 @@
 
 const (
 	// helperDialTimeout bounds the opening of the connection to the helping host.
-	helperDialTimeout = 150 * time.Millisecond
+	helperDialTimeout = 350 * time.Millisecond
 	// tunnelIdleTimeout is passed to the dialer. A tunnel carries one exchange and is never
 	// idle between two.
 	tunnelIdleTimeout = time.Second
@@ -91,7 +91,7 @@
 	if !to.until.IsZero() {
 		req.LifeMillis = max(1, time.Until(to.until).Milliseconds())
 	}
-	if err := nc.SetDeadline(time.Now().Add(openTimeout)); err != nil {
+	if err := nc.SetDeadline(time.Now().Add(lostOpenTimeout)); err != nil {
 		return nil, errors.Wrap(err, "set deadline")
 	}
 	if err := writeLine(nc, req); err != nil {
--- a/pkg/tunnel/opener.go
+++ b/pkg/tunnel/opener.go
@@ -25,8 +25,10 @@
 	helperHedgeDelay = 100 * time.Millisecond
 	// maxHelpers bounds the hosts that are asked for one connection.
 	maxHelpers = 3
-	// openTimeout bounds the opening of one connection by all ways together.
-	openTimeout = 450 * time.Millisecond
+	// openTimeout bounds the opening of one connection by all ways together. lostOpenTimeout
+	// does so where the path is known to be lost: nothing is gained by giving up early then.
+	openTimeout     = 450 * time.Millisecond
+	lostOpenTimeout = time.Second
 	// maxDoubts bounds the direct attempts that are slow or have failed and for which other
 	// hosts are asked at the same time. A host without processor time opens all its
 	// connections slowly, and must not open more of them for that.
@@ -94,7 +96,7 @@
 	to := target{address: address}
 	to.until, _ = ctx.Deadline()
 	if _, lost := o.opts.Watch.Lost(address); lost {
-		hostsCtx, cancel := context.WithTimeout(ctx, openTimeout)
+		hostsCtx, cancel := context.WithTimeout(ctx, lostOpenTimeout)
 		defer cancel()
 		return o.askHosts(hostsCtx, to)
 	}
@@ -270,7 +272,7 @@
 
 // askHosts asks other hosts to open a connection, one after the other, and the next one
 // also if one is slow to answer. It fails with upstream.ErrNoPath unless an answer tells of the
-// endpoint itself.
+// endpoint itself: that of a host that is not cut off, or those of all that were asked.
 func (o *Opener) askHosts(ctx context.Context, to target) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -294,7 +296,8 @@
 	askNext()
 	ticker := time.NewTicker(helperHedgeDelay)
 	defer ticker.Stop()
-	cause := upstream.ErrNoPath
+	var cause error
+	agreed := true
 	for pending > 0 {
 		select {
 		case <-ticker.C:
@@ -304,23 +307,32 @@
 			switch {
 			case r.err == nil:
 				cancel()
-				for range pending {
-					o.discard(results)
-				}
-				return r.conn, nil
-			case answerOf(r.err).Outcome.ofEndpoint():
+				return r.conn, o.settled(results, pending, nil)
+			case !answerOf(r.err).Outcome.ofEndpoint():
+				agreed = false
+			case answerOf(r.err).Unsure:
 				cause = r.err
-				if !answerOf(r.err).Unsure {
-					// A further host would find the same.
-					hosts = nil
-				}
+			default:
+				// A further host would find the same.
+				return nil, o.settled(results, pending, r.err)
 			}
 			askNext()
 		}
 	}
+	if cause == nil || !agreed {
+		cause = upstream.ErrNoPath
+	}
 	return nil, cause
 }
 
+// settled returns err once the other attempts are left to end by themselves.
+func (o *Opener) settled(results <-chan dialResult, pending int, err error) error {
+	for range pending {
+		o.discard(results)
+	}
+	return err
+}
+
 func (o *Opener) askHost(ctx context.Context, h pathwatch.Helper, to target) (net.Conn, error) {
 	c, err := dial(ctx, h, to)
 	if err == nil {
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -492,6 +492,28 @@
 	}
 }
 
+// TestEndpointIsDownOnlyIfAllAgree guards against an endpoint that counts as down because of
+// a host that may be cut off, while the one that could tell is not heard.
+func TestEndpointIsDownOnlyIfAllAgree(t *testing.T) {
+	for _, second := range []Outcome{Opened, Stopping} {
+		cut, other := newHelper(t, 10), newHelper(t, 10)
+		for _, h := range []*helper{cut, other} {
+			h.reaches.Store(false)
+			h.sound.Store(false)
+		}
+		h := newHost(t, cut, other)
+		other.check.Store(second)
+		endpoint := listen(t, echo)
+		for _, lost := range []string{endpoint, "192.0.2.1:1"} {
+			h.watch.PeerReached(lost, pathwatch.NotOpened, time.Now(), time.Now())
+		}
+		_, _, err := h.open(t, endpoint)
+		if refused := errors.Is(err, syscall.ECONNREFUSED); refused != (second == Opened) || refused == errors.Is(err, upstream.ErrNoPath) {
+			t.Errorf("%v when the other host answers %s", err, second)
+		}
+	}
+}
+
 // TestSilentConnectionsGoThroughAnotherHost guards against a cut in which connections open
 // and carry nothing.
 func TestSilentConnectionsGoThroughAnotherHost(t *testing.T) {
