usage: log lines for views and close records

Two usage_reported lines for a window did not tell whether the second close came from a view that lacked the first one, from another era, or from two views that accept different records. usage_view_read states from what a candidate starts, usage_window_closed and usage_close_ignored which record fixed the figures.

--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -115,6 +116,8 @@
 	// The fields below are guarded by mu.
 	fold   *fold
 	lastID int64
+	// viewLogged is set once the view has been logged, see logView.
+	viewLogged bool
 }
 
 // New starts a reporter. The caller must Close it.
@@ -161,17 +164,56 @@
 func (r *Reporter) foldRecord(rec logservice.Record, e logservice.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := r.fold.lastCloseOffset
 	r.fold.fold(rec, e, r.opts.Clock.Now())
+	if e.Kind == kindClose && r.viewLogged {
+		r.logClose(rec, e, r.fold.lastCloseOffset != before)
+	}
+}
+
+// logClose logs whether a close record fixes the figures of its window. It must be called
+// with mu held.
+func (r *Reporter) logClose(rec logservice.Record, e logservice.Entry, accepted bool) {
+	var body closeRecord
+	if json.Unmarshal(e.Body, &body) != nil {
+		return
+	}
+	total := Counts{}
+	for _, counts := range body.Figures {
+		total = total.plus(counts)
+	}
+	message := "usage_close_ignored"
+	if accepted {
+		message = "usage_window_closed"
+	}
+	r.opts.Log.WithFields(log.Fields{"window": body.Window, "record": e.ID, "close_offset": rec.Offset, "close_era": rec.Era, "quiet": body.Quiet, "requests": total.Requests}).Info(message)
+}
+
+// logView logs from what a view starts, once it has been read to its end.
+func (r *Reporter) logView() {
+	if r.tail.Status().ReadToEndAt.IsZero() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.viewLogged {
+		return
+	}
+	r.viewLogged = true
+	f := r.fold
+	r.opts.Log.WithFields(log.Fields{"start": f.startOffset, "complete": f.complete, "last_closed": f.lastClosed, "close_offset": f.lastCloseOffset, "next": f.lastOffset + 1}).Info("usage_view_read")
 }
 
 func (r *Reporter) onTruncated(_, oldest int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fold.restartAt(oldest, r.opts.Clock.Now())
+	r.viewLogged = false
 }
 
 func (r *Reporter) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		r.logView()
 		if _, err := r.opts.Leases.Check(r.opts.Key); err == nil {
 			r.closeDueWindow(ctx)
 			r.sendDueReports(ctx)
