usage: a window is not closed again after the log was restored

What users saw: two accepted reports with other figures for one window, from one holder or two. Cause: the fold of the usage stream knew no eras. After the log had come back from an older copy, the close record was lost, and the next holder, or the same one after a restart, closed the window again from the counts in the copy.

Close records state the era of their writer and count in that era only, so that late appends of earlier eras are void. The first reporters of an era record the first window that had not ended on any clock when their view began; no earlier one is closed, and its counts are left out. A running process keeps the figures that it had accepted.

--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -207,7 +207,7 @@
 		Key: d.key, Leases: c.leases, Sender: orders.NewSender(orders.Options{Clock: d.clock, Leases: c.leases, Incarnation: incarnation, Log: h.log}),
 		WindowInterface: d.platform, Log: h.log, Window: h.settings.UsageWindow,
 		Grace: usageGrace, FlushInterval: usageFlushInterval, QuietTime: usageQuietTime, ReadOptions: streamReadOptions(usageReadInterval),
-		Peers: otherCandidates{d}, HandOverAccepted: true,
+		Peers: otherCandidates{d}, HandOverAccepted: true, FirstStart: h.settings.FirstStart,
 		MayHoldCounts: func(sinceEnd time.Duration) bool {
 			return h.exchange.AwaitsUsage(time.Now().Add(usageForwardInterval + usageFlushInterval - sinceEnd))
 		},
--- a/pkg/usage/doc.go
+++ b/pkg/usage/doc.go
@@ -20,4 +20,9 @@
 // consecutive close records. If it sees no close record for Options.QuietTime,
 // it closes only windows that began within its view; late counts of older
 // windows are then not reported.
+//
+// When the log has come back from an older copy, close records of earlier eras
+// no longer count, the figures that this process had accepted before stay, and no
+// window that may have been closed earlier is closed (eras.go). Its counts are not
+// reported unless a process that is still running had accepted its close record.
 package usage
--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -38,7 +38,7 @@
 	h := &host{log: faultlog.New(cluster.mem, clock, random(1), rates)}
 	h.leases = lease.New(lease.Options{Client: h.log, Clock: clock, Rand: random(2), Incarnation: name, Host: name, Address: name, Keys: []lease.Key{testKey}, OrderLifetime: 2 * time.Second})
 	h.reporter = newReporter(Options{
-		Client: h.log, Clock: clock, Rand: random(3), Incarnation: name, Key: testKey, Leases: h.leases, Interface: cluster.usage, Peers: cluster,
+		Client: h.log, Clock: clock, Rand: random(3), Incarnation: name, Key: testKey, Leases: h.leases, Interface: cluster.usage, Peers: cluster, FirstStart: cluster.firstStart,
 		Sender: orders.NewSender(orders.Options{Clock: clock, Leases: h.leases, Incarnation: name}),
 	}, disabled, func() { cluster.usage.pause(3, 60*time.Second) })
 	cluster.mu.Lock()
@@ -179,3 +179,132 @@
 		})
 	}
 }
+
+// foldRecords folds records, which have the given bodies, at consecutive offsets.
+func foldRecords(t *testing.T, f *fold, bodies ...any) {
+	t.Helper()
+	for _, body := range bodies {
+		kind := kindCounts
+		switch body.(type) {
+		case closeRecord:
+			kind = kindClose
+		case eraRecord:
+			kind = kindEra
+		}
+		e, err := logservice.NewEntry("id", kind, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.fold(logservice.Record{Offset: f.lastOffset + 1, Era: f.era}, e, time.Now())
+	}
+}
+
+// TestCloseOfAnEarlierEraIsVoid guards against a close record that is appended in a later
+// era than its writer has seen: other figures of its window may have been reported. It also
+// guards against a process that forgets the figures that it had accepted before.
+func TestCloseOfAnEarlierEraIsVoid(t *testing.T) {
+	f := newFold(time.Now(), windowLength(DefaultWindow), disabledGuards{})
+	f.eraStarted(logservice.EraStart{Era: 1}, 0, time.Now())
+	first := closeRecord{Window: 5, Era: 1, Previous: unset, Through: 1, Figures: map[string]Counts{"t": {Requests: 1}}}
+	foldRecords(t, f, eraRecord{Era: 1}, Flush{Incarnation: "a", Window: 5, Sequence: 1, Teams: first.Figures}, first)
+	f.eraStarted(logservice.EraStart{Era: 2, Restored: true}, 7, time.Now())
+	if c := f.closed[5]; c == nil || c.figures["t"].Requests != 1 || f.firstClosable() != 6 {
+		t.Errorf("accepted before: %+v, first window to close %d", c, f.firstClosable())
+	}
+	late := closeRecord{Window: 8, Era: 1, Previous: unset, Figures: map[string]Counts{"t": {Requests: 2}}}
+	foldRecords(t, f, eraRecord{Era: 1}, Flush{Incarnation: "a", Window: 5, Sequence: 1, Teams: first.Figures}, late, eraRecord{Era: 2}, eraRecord{Era: 1, First: 3}, eraRecord{Era: 2, First: 7}, eraRecord{Era: 2, First: 9}, late)
+	if f.closed[8] != nil || f.lastClosed != unset || !f.firstKnown || f.firstClosable() != 7 {
+		t.Errorf("closed %+v, first window to close %d", f.closed[8], f.firstClosable())
+	}
+	foldRecords(t, f, Flush{Incarnation: "a", Window: 6, Sequence: 1, Teams: first.Figures}, Flush{Incarnation: "a", Window: 8, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 4}}})
+	if figures := f.unreportedCounts(8); figures["t"].Requests != 4 {
+		t.Errorf("figures with counts of a window that may have been reported: %+v", figures)
+	}
+	late.Era = 2
+	foldRecords(t, f, late)
+	if f.closed[8] == nil {
+		t.Error("a close record of the era is ignored")
+	}
+}
+
+// TestReportsBeginWithTheFirstEra guards against usage of the first windows that is not
+// reported although the log is new, and against windows that a log of which this is not
+// known may have lost.
+func TestReportsBeginWithTheFirstEra(t *testing.T) {
+	for _, firstStart := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			cluster := &testCluster{mem: logservice.NewMemory(clockwork.NewRealClock()), usage: &fakeUsage{random: rand.New(rand.NewSource(1)), figures: map[string]Counts{}}, firstStart: firstStart}
+			cluster.mem.SetEra(3)
+			cluster.mem.Append(t.Context(), logservice.StreamUsage, encodedFlush(t, Flush{Incarnation: "z", Window: windowLength(DefaultWindow).indexOf(time.Now()) - 1, Sequence: 1, Teams: map[string]Counts{"early": {Requests: 3}}}))
+			cluster.startSkewed("a", 1, faultlog.Rates{}, disabledGuards{}, 0)
+			cluster.hosts[0].reporter.Add("t", Counts{Requests: 1})
+			time.Sleep(10 * time.Minute)
+			cluster.hosts[0].close()
+			reported := map[string]int64{}
+			for id, c := range cluster.usage.figures {
+				reported[id[len("usage-15778080-"):]] += c.Requests
+			}
+			if reported["t"] != 1 || (reported["early"] == 3) != firstStart {
+				t.Errorf("first start %v: reported %v", firstStart, reported)
+			}
+		})
+	}
+}
+
+func encodedFlush(t *testing.T, f Flush) [][]byte {
+	t.Helper()
+	e, err := logservice.NewEntry(f.id(), kindCounts, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := e.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return [][]byte{data}
+}
+
+// TestRestoredLogWithoutErasRepeatsNoReport is TestRestoredLogRepeatsNoReport for a log that
+// states no era: its readers notice the restore by an offset beyond its end.
+func TestRestoredLogWithoutErasRepeatsNoReport(t *testing.T) {
+	for _, seed := range faultlog.Seeds(seedEnv, schedules) {
+		cluster := &testCluster{usage: &fakeUsage{random: rand.New(rand.NewSource(seed)), figures: map[string]Counts{}}}
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewSource(seed))
+			cluster.mem = logservice.NewMemory(clockwork.NewRealClock())
+			for i := range 3 {
+				cluster.startSkewed(fmt.Sprint("h", i), seed*100+int64(i), faultlog.Rates{Lost: .1}, disabledGuards{}, 0)
+			}
+			for i := range 100 {
+				cluster.hosts[random.Intn(3)].reporter.Add(fmt.Sprint("team", random.Intn(2)), Counts{Requests: 1})
+				time.Sleep(time.Duration(random.Int63n(int64(10 * time.Second))))
+				if i%30 == 29 {
+					// Nobody appends for as long as the readers need to notice.
+					for _, h := range cluster.hosts {
+						h.log.SetDown(true)
+					}
+					cluster.mem.Restore(time.Duration(random.Int63n(int64(3 * time.Minute))))
+					for _, h := range cluster.hosts {
+						h.log.SetDown(false)
+					}
+				}
+			}
+			time.Sleep(2 * time.Minute)
+			cluster.hosts[0].reporter.Add("last", Counts{Requests: 1})
+			time.Sleep(12 * time.Minute)
+			for _, h := range cluster.hosts {
+				h.close()
+			}
+		})
+		if !porcupine.CheckOperations(model, cluster.usage.ops) {
+			t.Errorf("%s=%d: a report was sent with different figures", seedEnv, seed)
+		}
+		resumed := false
+		for id := range cluster.usage.figures {
+			resumed = resumed || id[len(id)-len("last"):] == "last"
+		}
+		if !resumed {
+			t.Errorf("%s=%d: the last counts were not reported", seedEnv, seed)
+		}
+	}
+}
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -81,6 +81,20 @@
 	disabled            disabledGuards
 	// grace and quietTime are those of Options.
 	grace, quietTime time.Duration
+	// era is that of the view, zero if the log states none. afterEarlierEra is set if the
+	// log is known to have been in use in another era.
+	era             int64
+	afterEarlierEra bool
+	// first is the first window that may be closed in the era, if firstKnown is set.
+	first      int64
+	firstKnown bool
+	// notEnded is the first window that had not ended on any clock when the view of the era
+	// began. again is set if the log has lost records without a new era, so that records of
+	// the era may state a lower first window.
+	notEnded int64
+	again    bool
+	// keptThrough is the last window whose figures are kept from an earlier era.
+	keptThrough int64
 }
 
 func newFold(now time.Time, length windowLength, disabled disabledGuards) *fold {
@@ -98,15 +112,20 @@
 		disabled:            disabled,
 		grace:               DefaultGrace,
 		quietTime:           DefaultQuietTime,
+		firstKnown:          true,
+		keptThrough:         unset,
 	}
 }
 
-// restartAt restarts the view at offset start and keeps the closed windows.
+// restartAt restarts the view of the same era at offset start and keeps the closed
+// windows.
 func (f *fold) restartAt(start int64, now time.Time) {
-	closed, disabled, grace, quietTime := f.closed, f.disabled, f.grace, f.quietTime
-	*f = *newFold(now, f.length, disabled)
-	f.grace, f.quietTime = grace, quietTime
-	f.closed, f.startOffset, f.complete = closed, start, disabled.truncationCheck
+	old := *f
+	*f = *newFold(now, old.length, old.disabled)
+	f.grace, f.quietTime = old.grace, old.quietTime
+	f.closed, f.startOffset, f.complete = old.closed, start, old.disabled.truncationCheck
+	f.era, f.afterEarlierEra, f.keptThrough = old.era, old.afterEarlierEra, old.keptThrough
+	f.first, f.firstKnown, f.notEnded, f.again = old.first, old.firstKnown, old.notEnded, old.again
 }
 
 func (f *fold) fold(r logservice.Record, e logservice.Entry, now time.Time) {
@@ -131,6 +150,11 @@
 		if json.Unmarshal(e.Body, &rec) == nil {
 			f.foldReported(rec.Window)
 		}
+	case kindEra:
+		var rec eraRecord
+		if json.Unmarshal(e.Body, &rec) == nil {
+			f.foldEra(rec)
+		}
 	}
 }
 
@@ -177,6 +201,9 @@
 }
 
 func (f *fold) foldClose(it foldedClose, now time.Time) {
+	if !f.ofThisEra(it.rec.Era) {
+		return
+	}
 	if f.complete {
 		f.applyClose(it)
 	} else {
@@ -257,8 +284,13 @@
 		}
 	}
 	f.recent = rest
-	f.closed[rec.Window] = &closedWindow{figures: rec.Figures, offset: it.offset, era: it.era}
+	if f.closed[rec.Window] == nil {
+		f.closed[rec.Window] = &closedWindow{figures: rec.Figures, offset: it.offset, era: it.era}
+	}
 	f.lastClosed, f.lastCloseOffset = rec.Window, it.offset
+	if !f.firstKnown && f.mayDecide(rec.First) {
+		f.firstKnown, f.first = true, rec.First
+	}
 	f.prune()
 }
 
@@ -305,18 +337,19 @@
 // firstClosable returns the first window that this view may close. An incomplete
 // view does not determine which older windows are closed.
 func (f *fold) firstClosable() int64 {
+	first := max(f.first, f.keptThrough+1)
 	if f.complete {
-		return 0
+		return first
 	}
 	// One window is added because hosts' clocks differ from the service's.
-	return f.length.indexOf(f.viewStart) + 2
+	return max(first, f.length.indexOf(f.viewStart)+2)
 }
 
 // nextDue returns the next window to close at time now, if any. This is the
 // oldest open window with counts that ended at least the grace period ago, or,
 // if there are only late counts, the last window that ended so long ago.
 func (f *fold) nextDue(now time.Time) (int64, bool) {
-	if !f.complete && now.Sub(f.noCloseSince) < f.quietTime {
+	if !f.firstKnown || !f.complete && now.Sub(f.noCloseSince) < f.quietTime {
 		return 0, false
 	}
 	ended := f.length.indexOf(now.Add(-f.grace)) - 1
--- a/pkg/usage/records.go
+++ b/pkg/usage/records.go
@@ -24,6 +24,7 @@
 	kindCounts   = "counts"
 	kindClose    = "close"
 	kindReported = "reported"
+	kindEra      = "era"
 )
 
 // Counts is an amount of delivered work.
@@ -66,6 +67,10 @@
 // closeRecord fixes the figures of a window.
 type closeRecord struct {
 	Window int64 `json:"window"`
+	// Era is the era of the stream that the writer read in; the record counts in no other.
+	// First is the first window that may be closed in it, see eraRecord.
+	Era   int64 `json:"era,omitempty"`
+	First int64 `json:"first,omitempty"`
 	// Previous is the offset of the last close record that the writer had
 	// accepted. If another was accepted since, this record is not, because late
 	// counts may be in the figures of one window only.
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -84,6 +84,14 @@
 	// Grace, FlushInterval and QuietTime must be the same on all hosts. If zero
 	// they are DefaultGrace, DefaultFlushInterval and DefaultQuietTime.
 	Grace, FlushInterval, QuietTime time.Duration
+	// MaxClockSkew is the most by which the times of day of two hosts differ;
+	// DefaultMaxClockSkew if zero. Windows that may have ended on the clock of a host when
+	// the log came back from an older copy are not reported unless they had been closed.
+	MaxClockSkew time.Duration
+	// FirstStart says that all hosts start for the first time, so that the log has no
+	// earlier era. Without it a log that states an era may have had earlier ones, and no
+	// window that ended before the first reporter began is reported.
+	FirstStart bool
 	// ReadOptions configures the reader of the usage stream.
 	ReadOptions logservice.ReadOptions
 }
@@ -96,6 +104,8 @@
 	sequenceCheck   bool // flushes are added instead of replaced
 	lateCounts      bool // counts after the close are ignored
 	truncationCheck bool // a truncated view counts as complete
+	eraOfCloses     bool // close records of other eras count
+	eraRecord       bool // each window may be closed in each era
 }
 
 // Reporter counts work, closes windows and sends reports. It closes and sends
@@ -131,13 +141,14 @@
 	opts.Grace = cmp.Or(opts.Grace, DefaultGrace)
 	opts.FlushInterval = cmp.Or(opts.FlushInterval, DefaultFlushInterval)
 	opts.QuietTime = cmp.Or(opts.QuietTime, DefaultQuietTime)
+	opts.MaxClockSkew = cmp.Or(opts.MaxClockSkew, DefaultMaxClockSkew)
 	length := windowLength(opts.Window)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Reporter{opts: opts, cancel: cancel, fold: newFold(opts.Clock.Now(), length, disabled), beforeCloseAppend: beforeCloseAppend}
 	r.fold.grace, r.fold.quietTime = opts.Grace, opts.QuietTime
 	r.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Rand: opts.Rand,
-		Fold: r.foldRecord, Truncated: r.onTruncated, ReadOptions: opts.ReadOptions, Log: opts.Log,
+		Fold: r.foldRecord, Truncated: r.onTruncated, EraStarted: r.eraStarted, ReadOptions: opts.ReadOptions, Log: opts.Log,
 	})
 	r.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Tail: r.tail, LiveHosts: opts.LiveHosts,
@@ -164,8 +175,11 @@
 func (r *Reporter) foldRecord(rec logservice.Record, e logservice.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.fold.lastCloseOffset
+	before, firstBefore, knownBefore := r.fold.lastCloseOffset, r.fold.first, r.fold.firstKnown
 	r.fold.fold(rec, e, r.opts.Clock.Now())
+	if r.fold.firstKnown && (!knownBefore || r.fold.first != firstBefore) {
+		r.opts.Log.WithFields(log.Fields{"era": r.fold.era, "first_window": r.fold.first, "record": e.ID}).Info("usage_era_begun")
+	}
 	if e.Kind == kindClose && r.viewLogged {
 		r.logClose(rec, e, r.fold.lastCloseOffset != before)
 	}
@@ -214,7 +228,9 @@
 func (r *Reporter) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.logView()
-		if _, err := r.opts.Leases.Check(r.opts.Key); err == nil {
+		_, err := r.opts.Leases.Check(r.opts.Key)
+		r.beginEra(ctx, err == nil)
+		if err == nil {
 			r.closeDueWindow(ctx)
 			r.sendDueReports(ctx)
 		}
@@ -250,7 +266,7 @@
 		return logservice.Entry{}, closeRecord{}, false
 	}
 	r.lastID++
-	rec := closeRecord{Window: window, Previous: r.fold.lastCloseOffset, Through: r.fold.lastOffset, Figures: r.fold.unreportedCounts(window)}
+	rec := closeRecord{Window: window, Era: r.fold.era, First: r.fold.first, Previous: r.fold.lastCloseOffset, Through: r.fold.lastOffset, Figures: r.fold.unreportedCounts(window)}
 	if !r.fold.complete {
 		rec.Quiet, rec.QuietSince = true, max(r.fold.lastSeenCloseOffset+1, r.fold.startOffset)
 	}
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -119,8 +119,10 @@
 	usage *fakeUsage
 	// noPeers makes every handover fail, so that counts arrive late.
 	noPeers bool
-	mu      sync.Mutex
-	hosts   []*host
+	// firstStart is Options.FirstStart of the hosts.
+	firstStart bool
+	mu         sync.Mutex
+	hosts      []*host
 }
 
 // HandOver gives flushes to the two newest hosts.
@@ -225,19 +227,28 @@
 	for name, c := range map[string]struct {
 		truncate bool
 		disabled disabledGuards
+		restore  bool
 	}{
-		"first close record wins":    {false, disabledGuards{firstCloseWins: true}},
-		"reading the close back":     {false, disabledGuards{readBack: true}},
-		"highest sequence counts":    {false, disabledGuards{sequenceCheck: true}},
-		"late counts in next window": {false, disabledGuards{lateCounts: true}},
-		"care with a truncated view": {true, disabledGuards{truncationCheck: true}},
+		"first close record wins":    {false, disabledGuards{firstCloseWins: true}, false},
+		"reading the close back":     {false, disabledGuards{readBack: true}, false},
+		"highest sequence counts":    {false, disabledGuards{sequenceCheck: true}, false},
+		"late counts in next window": {false, disabledGuards{lateCounts: true}, false},
+		"care with a truncated view": {true, disabledGuards{truncationCheck: true}, false},
+		"close records of one era":   {false, disabledGuards{eraOfCloses: true}, true},
+		"first window of an era":     {false, disabledGuards{eraRecord: true}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			detected, ran := 0, 0
 			for seed := int64(1); seed <= schedules || (detected == 0 && seed <= 8*schedules); seed++ {
 				ran++
-				if violation, _ := runSchedule(t, seed, c.truncate, c.disabled); violation != "" {
+				violation := ""
+				if c.restore {
+					violation, _, _ = runKills(t, seed, true, c.truncate, c.disabled)
+				} else {
+					violation, _ = runSchedule(t, seed, c.truncate, c.disabled)
+				}
+				if violation != "" {
 					detected++
 				}
 			}
