relayhost: a host announces itself again if the store lost its announcement

A host writes its address into the topic of hosts once, at its start. If the store comes back from an older copy, the announcement is lost, and hosts that start later do not know the host. The host now compares the topic with what it has announced whenever the topic is read anew. No further call while nothing is lost.

--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -94,13 +94,17 @@
 	stored    storedEvidence
 	// evidenceWake starts the next round of runEvidence.
 	evidenceWake chan bool
-	client       *upstream.Client
-	handler      *relay.Handler
-	metrics      *relay.Metrics
-	quotas       *quotashare.Service
-	quotaMetrics *quotashare.Metrics
-	server       *fasthttp.Server
-	conns        *callerconn.Tracker
+	// announceWake announces this host again. ownAnnouncement is the value that the store
+	// has acknowledged, nil if it has none yet.
+	announceWake    chan struct{}
+	ownAnnouncement atomic.Pointer[[]byte]
+	client          *upstream.Client
+	handler         *relay.Handler
+	metrics         *relay.Metrics
+	quotas          *quotashare.Service
+	quotaMetrics    *quotashare.Metrics
+	server          *fasthttp.Server
+	conns           *callerconn.Tracker
 	// shares are the connections that the host may have open.
 	shares descriptors.Shares
 	// callersListener accepts the connections of callers. It is set by Run.
@@ -129,7 +133,7 @@
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	memory := membudget.New(membudget.HostLimit(settings.MemoryBytes))
 	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), unnamed: unnamedEndpoints{last: map[string]endpointRecord{}}, pace: pace.NewLimiter(settings.Host),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), announceWake: make(chan struct{}, 1), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
 	h.client = upstream.New(upstream.Options{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory})
 	h.models = placement.NewModels(h.pace)
@@ -251,7 +255,7 @@
 	for _, f := range h.followers {
 		wg.Go(func() { f.Run(workCtx) })
 	}
-	wg.Go(func() { h.announce(workCtx) })
+	wg.Go(func() { h.runAnnouncements(workCtx) })
 	wg.Go(func() { h.exchange.Run(workCtx) })
 	wg.Go(func() { h.quotas.Run(workCtx) })
 	wg.Go(func() { h.duties.run(workCtx) })
--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -1,10 +1,12 @@
 package relayhost
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -34,16 +36,30 @@
 		Client: h.adapter.KeyedLog, Topic: h.adapter.HostsTopic, Sharing: h.sharing(h.adapter.HostsTopic, peersMaxConfirmationAge),
 		PollWait: func() time.Duration { return peersReadWait - rand.N(peersReadWait/4) }, MinInterval: func() time.Duration { return hostsReadInterval },
 		Apply: h.applyHost,
-		Reset: func(records []keyedlog.Record) {
-			for _, r := range records {
-				h.applyHost(r)
-			}
-		},
+		Reset: h.resetHosts,
 		OnEra: h.observeEra, ReloadSpread: h.reloadSpread,
 		Log: h.log,
 	})
 }
 
+// resetHosts applies all records of the topic. The topic may have been restored from a copy
+// that is older than this host's announcement.
+func (h *Host) resetHosts(records []keyedlog.Record) {
+	announced := h.ownAnnouncement.Load()
+	isOwn := func(r keyedlog.Record) bool {
+		return r.Key == h.settings.Host && !r.Dropped && bytes.Equal(r.Value, *announced)
+	}
+	if announced != nil && !h.draining.Load() && !slices.ContainsFunc(records, isOwn) {
+		select {
+		case h.announceWake <- struct{}{}:
+		default:
+		}
+	}
+	for _, r := range records {
+		h.applyHost(r)
+	}
+}
+
 func (h *Host) applyHost(r keyedlog.Record) {
 	if r.Dropped {
 		h.exchange.RemovePeer(r.Key)
@@ -74,6 +90,18 @@
 	LinkBytesPerSecond float64 `json:"linkBytesPerSecond"`
 }
 
+// runAnnouncements announces this host at the start, and again after each loss of its
+// announcement.
+func (h *Host) runAnnouncements(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.announce(ctx)
+		select {
+		case <-ctx.Done():
+		case <-h.announceWake:
+		}
+	}
+}
+
 // announce writes this host's announcement to the store, with retries until it
 // succeeds. Writing it twice does no harm.
 func (h *Host) announce(ctx context.Context) {
@@ -89,6 +117,7 @@
 		err := h.adapter.KeyedLog.Write(writeCtx, h.adapter.HostsTopic, h.settings.Host, value)
 		cancel()
 		if err == nil {
+			h.ownAnnouncement.Store(&value)
 			return
 		}
 		h.log.WithError(err).Warn("host_not_announced")
