--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -47,15 +47,17 @@
 	return h
 }
 
-// kill ends a host without a flush or a release.
-func (cluster *testCluster) kill(h *host) {
+// remove removes a host from the cluster and returns it, to be killed.
+func (cluster *testCluster) remove(i int) *host {
 	cluster.mu.Lock()
-	for i, other := range cluster.hosts {
-		if other == h {
-			cluster.hosts = append(cluster.hosts[:i:i], cluster.hosts[i+1:]...)
-		}
-	}
-	cluster.mu.Unlock()
+	defer cluster.mu.Unlock()
+	h := cluster.hosts[i]
+	cluster.hosts = append(cluster.hosts[:i:i], cluster.hosts[i+1:]...)
+	return h
+}
+
+// kill ends a host without a flush or a release.
+func (h *host) kill() {
 	h.log.SetDown(true)
 	h.close()
 }
@@ -96,9 +98,7 @@
 				killed = 1 + random.Intn(3)
 			}
 			for range killed {
-				h := cluster.hosts[random.Intn(len(cluster.hosts))]
-				kills.Go(func() { cluster.kill(h) })
-				time.Sleep(time.Millisecond)
+				kills.Go(cluster.remove(random.Intn(len(cluster.hosts))).kill)
 			}
 			if restore && (killed > 0 && random.Intn(3) > 0 || random.Intn(40) == 0) {
 				for range 1 + random.Intn(2) {
