relayhost: evidence that the store has lost is stored again

The leader writes the evidence against parts that crash engines only when it differs from what the store holds as far as it knows. A store that came back from a copy without any evidence was taken to hold it still, so that hosts that start later had to wait for a datagram of a leader. A state without evidence now counts as none.

--- a/pkg/relayhost/peers.go
+++ b/pkg/relayhost/peers.go
@@ -43,7 +43,7 @@
 }
 
 // resetHosts applies all records of the topic. The topic may have been restored from a copy
-// that is older than this host's announcement.
+// that is older than this host's announcement or than the stored evidence.
 func (h *Host) resetHosts(records []keyedlog.Record) {
 	announced := h.ownAnnouncement.Load()
 	isOwn := func(r keyedlog.Record) bool {
@@ -55,6 +55,9 @@
 		default:
 		}
 	}
+	if !slices.ContainsFunc(records, func(r keyedlog.Record) bool { return r.Key == evidenceKey }) {
+		h.stored.replace(nil)
+	}
 	for _, r := range records {
 		h.applyHost(r)
 	}
