usage, relayhost: the first start of a system ends with the first era of its log

A host of the first start that read the usage stream for the first time after a restore, because it had been cut off from the log or became a candidate only then, took the new era for the first one: it recorded 0 as its first window and closed windows again that a lost record had closed.

FirstStart is now a question about an era. It is the first one only if the store stated it before any host could be a candidate.

--- a/pkg/logservice/era.go
+++ b/pkg/logservice/era.go
@@ -25,6 +25,9 @@
 	log log.Interface
 	// newest is the highest era seen, zero if none was.
 	newest int64
+	// first is the era of the first answer, which came at firstAt; zero if it stated none.
+	first   int64
+	firstAt time.Time
 	// risen counts the changes of newest after its first value, invalid the answers
 	// without a valid era after the first valid one.
 	risen, invalid int64
@@ -54,6 +57,14 @@
 	return EraStats{Newest: e.newest, Risen: e.risen, Invalid: e.invalid}
 }
 
+// First returns the era of the first answer, zero if it stated none, and when that came. It
+// reports false if there was none yet.
+func (e *Eras) First() (era int64, at time.Time, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.first, e.firstAt, !e.firstAt.IsZero()
+}
+
 // Observe returns the era of an answer that states it as the text. An answer without a
 // valid one counts as of the newest era. An era below the newest is that of an answer
 // that was on its way while the service was restored.
@@ -65,6 +76,12 @@
 		logger = logging.Discard()
 	}
 	era, err := strconv.ParseInt(text, 10, 64)
+	if e.firstAt.IsZero() {
+		e.firstAt = time.Now()
+		if err == nil && era > 0 {
+			e.first = era
+		}
+	}
 	if err != nil || era < 0 {
 		if now := time.Now(); text != "" || e.newest > 0 {
 			e.invalid++
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -49,6 +49,9 @@
 	discoveryTime      = 700 * time.Millisecond
 	firstDiscoveryTime = 2200 * time.Millisecond
 	candidacyInterval  = time.Second
+	// firstEraWithin is less than firstDiscoveryTime by more than the time within which all
+	// hosts start.
+	firstEraWithin = 1500 * time.Millisecond
 	// claimSpread bounds the random delay of a candidate's lease claim.
 	claimSpread = 300 * time.Millisecond
 	// streamPollWait is how long a read of a stream waits for a record.
@@ -191,6 +194,14 @@
 	return o.duties.host.exchange.ForwardUsage(o.duties.candidates(), maxCandidates, flushes)
 }
 
+// firstStartIn reports whether an era of the store is that in which all hosts have started
+// for the first time. The store may have been restored since unless it stated the era before
+// any host could be a candidate.
+func (h *Host) firstStartIn(era int64) bool {
+	first, at, known := h.adapter.StoreEras.First()
+	return h.settings.FirstStart && known && era == first && at.Sub(h.startedAt) < firstEraWithin
+}
+
 func (d *duties) startCandidacy() *candidacy {
 	h := d.host
 	incarnation := h.settings.Host + "/" + uuid.NewString()
@@ -207,7 +218,7 @@
 		Key: d.key, Leases: c.leases, Sender: orders.NewSender(orders.Options{Clock: d.clock, Leases: c.leases, Incarnation: incarnation, Log: h.log}),
 		WindowInterface: d.platform, Log: h.log, Window: h.settings.UsageWindow,
 		Grace: usageGrace, FlushInterval: usageFlushInterval, QuietTime: usageQuietTime, ReadOptions: streamReadOptions(usageReadInterval),
-		Peers: otherCandidates{d}, HandOverAccepted: true, FirstStart: h.settings.FirstStart,
+		Peers: otherCandidates{d}, HandOverAccepted: true, FirstStart: h.firstStartIn,
 		MayHoldCounts: func(sinceEnd time.Duration) bool {
 			return h.exchange.AwaitsUsage(time.Now().Add(usageForwardInterval + usageFlushInterval - sinceEnd))
 		},
--- a/pkg/usage/eras.go
+++ b/pkg/usage/eras.go
@@ -125,7 +125,7 @@
 		return logservice.Entry{}, eraRecord{}, false
 	}
 	rec := eraRecord{Era: f.era, First: f.notEnded, Again: f.again}
-	if r.opts.FirstStart && f.complete && !f.afterEarlierEra {
+	if r.opts.FirstStart != nil && r.opts.FirstStart(f.era) && f.complete && !f.afterEarlierEra {
 		rec.First = 0
 	}
 	r.lastID++
--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -38,7 +38,7 @@
 	h := &host{log: faultlog.New(cluster.mem, clock, random(1), rates)}
 	h.leases = lease.New(lease.Options{Client: h.log, Clock: clock, Rand: random(2), Incarnation: name, Host: name, Address: name, Keys: []lease.Key{testKey}, OrderLifetime: 2 * time.Second})
 	h.reporter = newReporter(Options{
-		Client: h.log, Clock: clock, Rand: random(3), Incarnation: name, Key: testKey, Leases: h.leases, Interface: cluster.usage, Peers: cluster, FirstStart: cluster.firstStart,
+		Client: h.log, Clock: clock, Rand: random(3), Incarnation: name, Key: testKey, Leases: h.leases, Interface: cluster.usage, Peers: cluster, FirstStart: func(era int64) bool { return era > 0 && era == cluster.firstEra },
 		Sender: orders.NewSender(orders.Options{Clock: clock, Leases: h.leases, Incarnation: name}),
 	}, disabled, func() { cluster.usage.pause(3, 60*time.Second) })
 	cluster.mu.Lock()
@@ -231,9 +231,9 @@
 // reported although the log is new, and against windows that a log of which this is not
 // known may have lost.
 func TestReportsBeginWithTheFirstEra(t *testing.T) {
-	for _, firstStart := range []bool{true, false} {
+	for _, firstEra := range []int64{3, 2, 0} {
 		synctest.Test(t, func(t *testing.T) {
-			cluster := &testCluster{mem: logservice.NewMemory(clockwork.NewRealClock()), usage: &fakeUsage{random: rand.New(rand.NewSource(1)), figures: map[string]Counts{}}, firstStart: firstStart}
+			cluster := &testCluster{mem: logservice.NewMemory(clockwork.NewRealClock()), usage: &fakeUsage{random: rand.New(rand.NewSource(1)), figures: map[string]Counts{}}, firstEra: firstEra}
 			cluster.mem.SetEra(3)
 			cluster.mem.Append(t.Context(), logservice.StreamUsage, encodedFlush(t, Flush{Incarnation: "z", Window: windowLength(DefaultWindow).indexOf(time.Now()) - 1, Sequence: 1, Teams: map[string]Counts{"early": {Requests: 3}}}))
 			cluster.startSkewed("a", 1, faultlog.Rates{}, disabledGuards{}, 0)
@@ -244,8 +244,8 @@
 			for id, c := range cluster.usage.figures {
 				reported[id[len("usage-15778080-"):]] += c.Requests
 			}
-			if reported["t"] != 1 || (reported["early"] == 3) != firstStart {
-				t.Errorf("first start %v: reported %v", firstStart, reported)
+			if reported["t"] != 1 || (reported["early"] == 3) != (firstEra == 3) {
+				t.Errorf("first start in era %d: reported %v", firstEra, reported)
 			}
 		})
 	}
--- a/pkg/usage/firststart_test.go
+++ b/pkg/usage/firststart_test.go
@@ -19,7 +19,7 @@
 func TestFirstStartEndsWithARestore(t *testing.T) {
 	for name, cutOff := range map[string]bool{"cut off since its start": true, "candidate since the restore": false} {
 		t.Run(name, func(t *testing.T) {
-			cluster := &testCluster{usage: &fakeUsage{random: rand.New(rand.NewSource(1)), figures: map[string]Counts{}}, noPeers: true, firstStart: true}
+			cluster := &testCluster{usage: &fakeUsage{random: rand.New(rand.NewSource(1)), figures: map[string]Counts{}}, noPeers: true, firstEra: 1}
 			synctest.Test(t, func(t *testing.T) {
 				cluster.mem = logservice.NewMemory(clockwork.NewRealClock())
 				cluster.mem.SetEra(1)
@@ -36,7 +36,7 @@
 				if len(cluster.usage.ops) == 0 {
 					t.Fatal("the first window was not reported")
 				}
-				cluster.kill(first)
+				cluster.remove(0).kill()
 				cluster.mem.Restore(3*time.Minute + time.Second)
 				if cutOff {
 					second.log.SetDown(false)
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -88,10 +88,11 @@
 	// DefaultMaxClockSkew if zero. Windows that may have ended on the clock of a host when
 	// the log came back from an older copy are not reported unless they had been closed.
 	MaxClockSkew time.Duration
-	// FirstStart says that all hosts start for the first time, so that the log has no
-	// earlier era. Without it a log that states an era may have had earlier ones, and no
-	// window that ended before the first reporter began is reported.
-	FirstStart bool
+	// FirstStart reports whether an era is that in which all hosts have started for the first
+	// time, so that the log had no earlier one; nil means that none is. A log that states an
+	// era may otherwise have had earlier ones, and no window that ended before the first
+	// reporter of the era began is reported.
+	FirstStart func(era int64) bool
 	// ReadOptions configures the reader of the usage stream.
 	ReadOptions logservice.ReadOptions
 }
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -119,10 +119,10 @@
 	usage *fakeUsage
 	// noPeers makes every handover fail, so that counts arrive late.
 	noPeers bool
-	// firstStart is Options.FirstStart of the hosts.
-	firstStart bool
-	mu         sync.Mutex
-	hosts      []*host
+	// firstEra is the era in which the hosts start for the first time, zero if they do not.
+	firstEra int64
+	mu       sync.Mutex
+	hosts    []*host
 }
 
 // HandOver gives flushes to the two newest hosts.
