usage: test kills and restores with the times of a host on the platform, and with clocks that step

With windows of 5 s and a grace time of 2.5 s, half of the difference between clocks is covered by the margin of an era's first window only; the schedules so far had the times of the product, whose grace time covers all of it.

--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,33 +19,45 @@
 	"github.com/clementineshed/clementineshed/test/knownred"
 )
 
-// skewedClock is a clock whose time of day is off.
+// skewedClock is a clock whose time of day is off by offset, which may step.
 type skewedClock struct {
 	clockwork.Clock
-	offset time.Duration
+	offset *atomic.Int64
 }
 
-func (c skewedClock) Now() time.Time                  { return c.Clock.Now().Add(c.offset) }
+func (c skewedClock) Now() time.Time                  { return c.Clock.Now().Add(time.Duration(c.offset.Load())) }
 func (c skewedClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
 func (c skewedClock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
 
-// maxTestSkew is the most by which the time of day of a host is off in these tests.
-const maxTestSkew = 4 * time.Second
+// testTimes are the times of a run: those of the product, or the shorter ones of a host on
+// the users' platform, where DefaultMaxClockSkew exceeds the grace time.
+type testTimes struct {
+	window, grace, flush, quiet time.Duration
+	// maxSkew is the most by which the time of day of a host is off, maxAge the greatest
+	// age of a copy.
+	maxSkew, maxAge time.Duration
+}
+
+var productTimes = testTimes{window: DefaultWindow, grace: DefaultGrace, flush: DefaultFlushInterval, quiet: DefaultQuietTime, maxSkew: 4 * time.Second, maxAge: 2 * time.Minute}
+var platformTimes = testTimes{window: 5 * time.Second, grace: 2500 * time.Millisecond, flush: time.Second, quiet: 12 * time.Second, maxSkew: DefaultMaxClockSkew / 2, maxAge: 15 * time.Second}
 
-// startSkewed is start with a time of day that is off.
-func (cluster *testCluster) startSkewed(name string, seed int64, rates faultlog.Rates, disabled disabledGuards, offset time.Duration) *host {
-	clock := skewedClock{clockwork.NewRealClock(), offset}
+// startSkewed is start with a time of day that is off. A test may change the offset.
+func (cluster *testCluster) startSkewed(name string, seed int64, times testTimes, rates faultlog.Rates, disabled disabledGuards, offset time.Duration) (h *host, skew *atomic.Int64) {
+	skew = &atomic.Int64{}
+	skew.Store(int64(offset))
+	clock := skewedClock{clockwork.NewRealClock(), skew}
 	random := func(n int64) *rand.Rand { return rand.New(rand.NewSource(seed*10 + n)) }
-	h := &host{log: faultlog.New(cluster.mem, clock, random(1), rates)}
+	h = &host{log: faultlog.New(cluster.mem, clock, random(1), rates)}
 	h.leases = lease.New(lease.Options{Client: h.log, Clock: clock, Rand: random(2), Incarnation: name, Host: name, Address: name, Keys: []lease.Key{testKey}, OrderLifetime: 2 * time.Second})
 	h.reporter = newReporter(Options{
 		Client: h.log, Clock: clock, Rand: random(3), Incarnation: name, Key: testKey, Leases: h.leases, Interface: cluster.usage, Peers: cluster, FirstStart: cluster.firstStart,
+		Window: times.window, Grace: times.grace, FlushInterval: times.flush, QuietTime: times.quiet,
 		Sender: orders.NewSender(orders.Options{Clock: clock, Leases: h.leases, Incarnation: name}),
-	}, disabled, func() { cluster.usage.pause(3, 60*time.Second) })
+	}, disabled, func() { cluster.usage.pause(3, times.window) })
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
 	cluster.hosts = append(cluster.hosts, h)
-	return h
+	return h, skew
 }
 
 // remove removes a host from the cluster and returns it, to be killed.
@@ -71,14 +84,20 @@
 	var added Counts
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewSource(seed))
+		times := productTimes
+		if seed%2 == 0 {
+			times = platformTimes
+		}
+		cluster.usage.longestPause = times.window
 		cluster.mem = logservice.NewMemory(clockwork.NewRealClock())
 		cluster.mem.SetEra(1)
 		rates := faultlog.Rates{Lost: .1, Late: .15, Never: .05, Slow: .05, MaxDelay: 20 * time.Second}
-		started := 0
+		randomSkew := func() time.Duration { return time.Duration(random.Int63n(int64(2*times.maxSkew))) - times.maxSkew }
+		var skews []*atomic.Int64
 		start := func() {
-			started++
-			skew := time.Duration(random.Int63n(int64(2*maxTestSkew))) - maxTestSkew
-			cluster.startSkewed(fmt.Sprint("h", started), seed*100+int64(started), rates, disabled, skew)
+			n := len(skews) + 1
+			_, skew := cluster.startSkewed(fmt.Sprint("h", n), seed*100+int64(n), times, rates, disabled, randomSkew())
+			skews = append(skews, skew)
 		}
 		for range 3 {
 			start()
@@ -93,6 +112,9 @@
 		for range 250 {
 			add(fmt.Sprint("team", random.Intn(2)))
 			time.Sleep(time.Duration(random.Int63n(int64(5 * time.Second))))
+			if random.Intn(20) == 0 {
+				skews[random.Intn(len(skews))].Store(int64(randomSkew()))
+			}
 			killed := 0
 			if random.Intn(15) == 0 {
 				killed = 1 + random.Intn(3)
@@ -102,12 +124,12 @@
 			}
 			if restore && (killed > 0 && random.Intn(3) > 0 || random.Intn(40) == 0) {
 				for range 1 + random.Intn(2) {
-					cluster.mem.Restore(time.Duration(random.Int63n(int64(2 * time.Minute))))
+					cluster.mem.Restore(time.Duration(random.Int63n(int64(times.maxAge))))
 					time.Sleep(time.Duration(random.Int63n(int64(2 * time.Second))))
 				}
 			}
 			if truncate && random.Intn(20) == 0 {
-				cluster.mem.TruncateOlderThan(time.Now().Add(-time.Duration(random.Int63n(int64(time.Minute)))))
+				cluster.mem.TruncateOlderThan(time.Now().Add(-time.Duration(random.Int63n(int64(times.maxAge)))))
 			}
 			for range killed {
 				start()
@@ -154,7 +176,7 @@
 
 // TestKilledHostsRepeatNoReport guards against a window that is reported again with other
 // figures because hosts are killed at any moment, records are appended late and the times
-// of day of hosts differ, while the log loses nothing but what its retention removes.
+// of day of hosts differ and step, while the log loses nothing but what its retention removes.
 func TestKilledHostsRepeatNoReport(t *testing.T) {
 	for _, truncate := range []bool{false, true} {
 		t.Run(fmt.Sprint("truncated=", truncate), func(t *testing.T) {
@@ -236,7 +258,7 @@
 			cluster := &testCluster{mem: logservice.NewMemory(clockwork.NewRealClock()), usage: &fakeUsage{random: rand.New(rand.NewSource(1)), figures: map[string]Counts{}}, firstStart: firstStart}
 			cluster.mem.SetEra(3)
 			cluster.mem.Append(t.Context(), logservice.StreamUsage, encodedFlush(t, Flush{Incarnation: "z", Window: windowLength(DefaultWindow).indexOf(time.Now()) - 1, Sequence: 1, Teams: map[string]Counts{"early": {Requests: 3}}}))
-			cluster.startSkewed("a", 1, faultlog.Rates{}, disabledGuards{}, 0)
+			cluster.startSkewed("a", 1, productTimes, faultlog.Rates{}, disabledGuards{}, 0)
 			cluster.hosts[0].reporter.Add("t", Counts{Requests: 1})
 			time.Sleep(10 * time.Minute)
 			cluster.hosts[0].close()
@@ -273,7 +295,7 @@
 			random := rand.New(rand.NewSource(seed))
 			cluster.mem = logservice.NewMemory(clockwork.NewRealClock())
 			for i := range 3 {
-				cluster.startSkewed(fmt.Sprint("h", i), seed*100+int64(i), faultlog.Rates{Lost: .1}, disabledGuards{}, 0)
+				cluster.startSkewed(fmt.Sprint("h", i), seed*100+int64(i), productTimes, faultlog.Rates{Lost: .1}, disabledGuards{}, 0)
 			}
 			for i := range 100 {
 				cluster.hosts[random.Intn(3)].reporter.Add(fmt.Sprint("team", random.Intn(2)), Counts{Requests: 1})
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -41,6 +42,8 @@
 	random  *rand.Rand
 	ops     []porcupine.Operation
 	figures map[string]Counts // first figures by report id
+	// longestPause is the longest pause before a report; a minute if zero.
+	longestPause time.Duration
 }
 
 type fakeUsageConn struct{ usage *fakeUsage }
@@ -64,7 +67,7 @@
 // Send pauses at random, like a process that is stopped between the lease check
 // and the send, and loses responses.
 func (c fakeUsageConn) Send(_ context.Context, r Report) error {
-	c.usage.pause(10, 60*time.Second)
+	c.usage.pause(10, cmp.Or(c.usage.longestPause, time.Minute))
 	c.usage.mu.Lock()
 	defer c.usage.mu.Unlock()
 	lost := c.usage.random.Intn(5) == 0
