--- a/pkg/usage/firststart_test.go
+++ b/pkg/usage/firststart_test.go
@@ -23,11 +23,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				cluster.mem = logservice.NewMemory(clockwork.NewRealClock())
 				cluster.mem.SetEra(1)
-				first := cluster.startSkewed("a", 1, faultlog.Rates{}, disabledGuards{}, 0)
+				first, _ := cluster.startSkewed("a", 1, productTimes, faultlog.Rates{}, disabledGuards{}, 0)
 				counted := Flush{Incarnation: "c", Window: windowLength(DefaultWindow).indexOf(time.Now()), Sequence: 1, Teams: map[string]Counts{"t": {Requests: 2}}}
 				var second *host
 				if cutOff {
-					second = cluster.startSkewed("b", 2, faultlog.Rates{}, disabledGuards{}, 0)
+					second, _ = cluster.startSkewed("b", 2, productTimes, faultlog.Rates{}, disabledGuards{}, 0)
 					second.log.SetDown(true)
 					second.reporter.Add("t", Counts{Requests: 2})
 				}
@@ -42,7 +42,7 @@
 					second.log.SetDown(false)
 				} else {
 					// A host hands over counts that it could not deliver before.
-					second = cluster.startSkewed("b", 2, faultlog.Rates{}, disabledGuards{}, 0)
+					second, _ = cluster.startSkewed("b", 2, productTimes, faultlog.Rates{}, disabledGuards{}, 0)
 					second.reporter.AcceptFlushes([]Flush{counted})
 				}
 				time.Sleep(10 * time.Minute)
