usage: windows closed by older software are not closed again

A host whose software states no era in its close records may hold the lease beside upgraded hosts. These ignored its close records, and the next holder closed the same windows again from all counts, late ones included: a second report with other figures.

A view does not close a window, or an earlier one, for which it has read a close record without an era. Which records are accepted does not change. A holder with older software that follows an upgraded one is not covered.

--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -249,6 +249,21 @@
 	}
 }
 
+// TestWindowOfOlderSoftwareIsNotClosedAgain guards against a window that is reported again
+// with other figures while hosts are upgraded from software whose close records state no era.
+func TestWindowOfOlderSoftwareIsNotClosedAgain(t *testing.T) {
+	f := newFold(time.Now(), windowLength(DefaultWindow), disabledGuards{})
+	f.eraStarted(logservice.EraStart{Era: 1}, 5, time.Now())
+	teams := map[string]Counts{"t": {Requests: 1}}
+	foldRecords(t, f, eraRecord{Era: 1, First: 5}, Flush{Incarnation: "a", Window: 6, Sequence: 1, Teams: teams}, closeRecord{Window: 6, Previous: unset, Through: 1, Figures: teams}, Flush{Incarnation: "a", Window: 7, Sequence: 1, Teams: teams})
+	if window, _ := f.nextDue(f.length.endOf(8).Add(f.grace)); window != 7 {
+		t.Errorf("closes window %d next", window)
+	}
+	if figures := f.unreportedCounts(7); figures["t"].Requests != 1 {
+		t.Errorf("figures of the next window: %+v", figures)
+	}
+}
+
 // TestReportsBeginWithTheFirstEra guards against usage of the first windows that is not
 // reported although the log is new, and against windows that a log of which this is not
 // known may have lost.
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -93,7 +93,8 @@
 	// the era may state a lower first window.
 	notEnded int64
 	again    bool
-	// keptThrough is the last window whose figures are kept from an earlier era.
+	// keptThrough is the last window whose figures are kept from an earlier era or were fixed
+	// by software that states no era.
 	keptThrough int64
 }
 
@@ -202,6 +203,10 @@
 
 func (f *fold) foldClose(it foldedClose, now time.Time) {
 	if !f.ofThisEra(it.rec.Era) {
+		if it.rec.Era == 0 {
+			// Its writer is older software, which may have reported the window in this era.
+			f.keptThrough = max(f.keptThrough, it.rec.Window)
+		}
 		return
 	}
 	if f.complete {
