usage: a close record without a first window decides no later era

Found by the same review, by reading: era records that open all windows are refused in a log that had an earlier era, close records were not. Both are now judged by the same function. TestCloseWithoutFirstWindowDecidesNoLaterEra failed before: the first window was 0.

--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -345,3 +345,18 @@
 		}
 	}
 }
+
+// TestCloseWithoutFirstWindowDecidesNoLaterEra guards against a close record that opens all
+// windows of an era although the log is known to have been in use in an earlier one.
+func TestCloseWithoutFirstWindowDecidesNoLaterEra(t *testing.T) {
+	f := newFold(time.Now(), windowLength(DefaultWindow), disabledGuards{})
+	f.eraStarted(logservice.EraStart{Era: 1}, 5, time.Now())
+	f.eraStarted(logservice.EraStart{Era: 2, Restored: true}, 7, time.Now())
+	f.foldClose(foldedClose{offset: 3, era: 2, rec: closeRecord{Window: 8, Era: 2, Previous: unset, Through: 2}}, time.Now())
+	if f.closed[8] == nil {
+		t.Error("the close record is ignored")
+	}
+	if f.firstKnown {
+		t.Errorf("the first window of the era is %d", f.first)
+	}
+}
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -293,9 +293,7 @@
 		f.closed[rec.Window] = &closedWindow{figures: rec.Figures, offset: it.offset, era: it.era}
 	}
 	f.lastClosed, f.lastCloseOffset = rec.Window, it.offset
-	if !f.firstKnown && f.mayDecide(rec.First) {
-		f.firstKnown, f.first = true, rec.First
-	}
+	f.foldEra(eraRecord{Era: rec.Era, First: rec.First})
 	f.prune()
 }
 
