usage, relayhost: counts of a running window are flushed again after a restore

Flushes are cumulative, so that only the last counts of a window can be lost for good.

Counter.ObserveEra makes the windows that have not ended due again when the era rises; a reporter calls it with the era of its view, a host with that of its followers.

--- a/pkg/relayhost/follow.go
+++ b/pkg/relayhost/follow.go
@@ -102,6 +102,7 @@
 	for _, f := range h.followers {
 		f.ObserveEra(era)
 	}
+	h.duties.counter.ObserveEra(era)
 	h.exchange.SendSoon()
 }
 
--- a/pkg/relayhost/follow_test.go
+++ b/pkg/relayhost/follow_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/clementineshed/clementineshed/pkg/endpoint"
@@ -59,8 +60,9 @@
 func startLeader(t *testing.T) (*Host, *pageStore, <-chan keyedlog.Record) {
 	t.Helper()
 	store := &pageStore{pages: make(chan []keyedlog.Record)}
-	h := New(Settings{Host: "leader"}, Adapter{KeyedLog: store, EndpointsTopic: "endpoints", DecodeEndpoint: decodeWords}, logging.Discard())
-	h.duties = &duties{host: h}
+	h := New(Settings{Host: "leader", UsageWindow: time.Second}, Adapter{KeyedLog: store, EndpointsTopic: "endpoints", DecodeEndpoint: decodeWords}, logging.Discard())
+	h.duties = newDuties(h, logservice.NewMemory(clockwork.NewRealClock()), nil)
+	t.Cleanup(func() { _ = h.duties.counter.Close(context.Background()) })
 	received := make(chan keyedlog.Record, 100)
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -66,6 +66,8 @@
 	latestWindow int64
 	// peersFirst hands all flushes to peers and appends them only if that fails.
 	peersFirst bool
+	// era is the highest era of the log that ObserveEra was told of.
+	era int64
 	// handOverAccepted hands accepted flushes over to other peers if their append
 	// fails.
 	handOverAccepted bool
@@ -139,6 +141,22 @@
 	w.dirty = true
 }
 
+// ObserveEra tells the counter of the era of the log. When it rises, the log may have lost
+// the counts of windows that have not ended, so that these are flushed again.
+func (c *Counter) ObserveEra(era int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era <= c.era {
+		return
+	}
+	if c.era > 0 {
+		for _, w := range c.windows {
+			w.flushed, w.handovers = 0, 0
+		}
+	}
+	c.era = era
+}
+
 // AcceptFlushes takes flushes that a peer handed over and appends them with the
 // next flush. It is idempotent.
 func (c *Counter) AcceptFlushes(flushes []Flush) {
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -230,6 +230,7 @@
 	for ctx.Err() == nil {
 		r.logView()
 		_, err := r.opts.Leases.Check(r.opts.Key)
+		r.ObserveEra(r.tail.Status().Era)
 		r.beginEra(ctx, err == nil)
 		if err == nil {
 			r.closeDueWindow(ctx)
