--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -98,7 +98,11 @@
 	stored    storedEvidence
 	// evidenceWake starts the next round of runEvidence.
 	evidenceWake chan bool
-	client       *upstream.Client
+	// announceWake announces this host again. ownAnnouncement is the value that the store
+	// has acknowledged, nil if it has none yet.
+	announceWake    chan struct{}
+	ownAnnouncement atomic.Pointer[[]byte]
+	client          *upstream.Client
 	// paths follows whether this host reaches the endpoints, opener opens the connections
 	// to them, and tunnels carries those of other hosts.
 	paths        *pathwatch.Watch
@@ -138,7 +142,7 @@
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	memory := membudget.New(membudget.HostLimit(settings.MemoryBytes))
 	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), unnamed: unnamedEndpoints{last: map[string]endpointRecord{}}, pace: pace.NewLimiter(settings.Host),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), announceWake: make(chan struct{}, 1), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
 	h.initPaths()
 	h.client = upstream.New(upstream.Options{IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory, Dial: h.opener.Open, MayUseIdle: h.paths.MayUseIdle,
@@ -266,7 +270,7 @@
 	for _, f := range h.followers {
 		wg.Go(func() { f.Run(workCtx) })
 	}
-	wg.Go(func() { h.announce(workCtx) })
+	wg.Go(func() { h.runAnnouncements(workCtx) })
 	wg.Go(func() { h.exchange.Run(workCtx) })
 	wg.Go(func() { h.quotas.Run(workCtx) })
 	wg.Go(func() { h.duties.run(workCtx) })
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -83,6 +84,15 @@
 	// Grace, FlushInterval and QuietTime must be the same on all hosts. If zero
 	// they are DefaultGrace, DefaultFlushInterval and DefaultQuietTime.
 	Grace, FlushInterval, QuietTime time.Duration
+	// MaxClockSkew is the most by which the times of day of two hosts differ;
+	// DefaultMaxClockSkew if zero. Windows that may have ended on the clock of a host when
+	// the log came back from an older copy are not reported unless they had been closed.
+	MaxClockSkew time.Duration
+	// FirstStart reports whether an era is that in which all hosts have started for the first
+	// time, so that the log had no earlier one; nil means that none is. A log that states an
+	// era may otherwise have had earlier ones, and no window that ended before the first
+	// reporter of the era began is reported.
+	FirstStart func(era int64) bool
 	// ReadOptions configures the reader of the usage stream.
 	ReadOptions logservice.ReadOptions
 }
@@ -95,6 +105,8 @@
 	sequenceCheck   bool // flushes are added instead of replaced
 	lateCounts      bool // counts after the close are ignored
 	truncationCheck bool // a truncated view counts as complete
+	eraOfCloses     bool // close records of other eras count
+	eraRecord       bool // each window may be closed in each era
 }
 
 // Reporter counts work, closes windows and sends reports. It closes and sends
@@ -115,6 +127,8 @@
 	// The fields below are guarded by mu.
 	fold   *fold
 	lastID int64
+	// viewLogged is set once the view has been logged, see logView.
+	viewLogged bool
 }
 
 // New starts a reporter. The caller must Close it.
@@ -128,13 +142,14 @@
 	opts.Grace = cmp.Or(opts.Grace, DefaultGrace)
 	opts.FlushInterval = cmp.Or(opts.FlushInterval, DefaultFlushInterval)
 	opts.QuietTime = cmp.Or(opts.QuietTime, DefaultQuietTime)
+	opts.MaxClockSkew = cmp.Or(opts.MaxClockSkew, DefaultMaxClockSkew)
 	length := windowLength(opts.Window)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Reporter{opts: opts, cancel: cancel, fold: newFold(opts.Clock.Now(), length, disabled), beforeCloseAppend: beforeCloseAppend}
 	r.fold.grace, r.fold.quietTime = opts.Grace, opts.QuietTime
 	r.tail = logservice.NewTail(logservice.TailOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Rand: opts.Rand,
-		Fold: r.foldRecord, Truncated: r.onTruncated, ReadOptions: opts.ReadOptions, Log: opts.Log,
+		Fold: r.foldRecord, Truncated: r.onTruncated, EraStarted: r.eraStarted, ReadOptions: opts.ReadOptions, Log: opts.Log,
 	})
 	r.batcher = logservice.NewBatcher(logservice.BatcherOptions{
 		Client: opts.Client, Stream: logservice.StreamUsage, Clock: opts.Clock, Tail: r.tail, LiveHosts: opts.LiveHosts,
@@ -161,18 +176,63 @@
 func (r *Reporter) foldRecord(rec logservice.Record, e logservice.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before, firstBefore, knownBefore := r.fold.lastCloseOffset, r.fold.first, r.fold.firstKnown
 	r.fold.fold(rec, e, r.opts.Clock.Now())
+	if r.fold.firstKnown && (!knownBefore || r.fold.first != firstBefore) {
+		r.opts.Log.WithFields(log.Fields{"era": r.fold.era, "first_window": r.fold.first, "record": e.ID}).Info("usage_era_begun")
+	}
+	if e.Kind == kindClose && r.viewLogged {
+		r.logClose(rec, e, r.fold.lastCloseOffset != before)
+	}
+}
+
+// logClose logs whether a close record fixes the figures of its window. It must be called
+// with mu held.
+func (r *Reporter) logClose(rec logservice.Record, e logservice.Entry, accepted bool) {
+	var body closeRecord
+	if json.Unmarshal(e.Body, &body) != nil {
+		return
+	}
+	total := Counts{}
+	for _, counts := range body.Figures {
+		total = total.plus(counts)
+	}
+	message := "usage_close_ignored"
+	if accepted {
+		message = "usage_window_closed"
+	}
+	r.opts.Log.WithFields(log.Fields{"window": body.Window, "record": e.ID, "close_offset": rec.Offset, "close_era": rec.Era, "quiet": body.Quiet, "requests": total.Requests}).Info(message)
+}
+
+// logView logs from what a view starts, once it has been read to its end.
+func (r *Reporter) logView() {
+	if r.tail.Status().ReadToEndAt.IsZero() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.viewLogged {
+		return
+	}
+	r.viewLogged = true
+	f := r.fold
+	r.opts.Log.WithFields(log.Fields{"start": f.startOffset, "complete": f.complete, "last_closed": f.lastClosed, "close_offset": f.lastCloseOffset, "next": f.lastOffset + 1}).Info("usage_view_read")
 }
 
 func (r *Reporter) onTruncated(_, oldest int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fold.restartAt(oldest, r.opts.Clock.Now())
+	r.viewLogged = false
 }
 
 func (r *Reporter) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, err := r.opts.Leases.Check(r.opts.Key); err == nil {
+		r.logView()
+		_, err := r.opts.Leases.Check(r.opts.Key)
+		r.ObserveEra(r.tail.Status().Era)
+		r.beginEra(ctx, err == nil)
+		if err == nil {
 			r.closeDueWindow(ctx)
 			r.sendDueReports(ctx)
 		}
@@ -208,7 +268,7 @@
 		return logservice.Entry{}, closeRecord{}, false
 	}
 	r.lastID++
-	rec := closeRecord{Window: window, Previous: r.fold.lastCloseOffset, Through: r.fold.lastOffset, Figures: r.fold.unreportedCounts(window)}
+	rec := closeRecord{Window: window, Era: r.fold.era, First: r.fold.first, Previous: r.fold.lastCloseOffset, Through: r.fold.lastOffset, Figures: r.fold.unreportedCounts(window)}
 	if !r.fold.complete {
 		rec.Quiet, rec.QuietSince = true, max(r.fold.lastSeenCloseOffset+1, r.fold.startOffset)
 	}
