streamorigin, relay: a stream that a caller takes up goes on only at the version that began it

Callers saw streams whose first events came from one software version and the rest, after they had taken the stream up, from another one. Reported for a host that is out of step with a release; it happened at any host: Resumes was logged and nothing acted on it.

Hosts write the versions in service to the store before they pass on a first event, and while a service has several also which one began each attempt. A host that has not begun the stream reads them with a read that begins after the request came, so that a host that stood still, is cut off or has just started lacks nothing or knows that it does, and then refuses the stream as not run. One pure decision, streamorigin.Origins.Origin.

On the code before, the tests in platform/takeup_test.go failed: 11 of 24 streams went on at another version at a second host, 8 of 24 after all hosts had restarted, 12 of 12 at a host whose reads of the store, or of the announcements only, stood still, and 6 of 6 after the old version had left. Now none does, at least 18 of 24 go on at their version, and all 12 of a service with one version. With one guard taken out at a time the tests of pkg/streamorigin fail: joining the read in progress, no wait for the version's record, deciding without a read, ignoring the own announcements, not queueing earlier attempts, not recording again in a new era of the store.

--- a/pkg/logservice/logservice.go
+++ b/pkg/logservice/logservice.go
@@ -15,6 +15,7 @@
 	StreamAttempts   = "attempts"
 	StreamUsage      = "usage"
 	StreamQuarantine = "quarantine"
+	StreamOrigins    = "origins"
 )
 
 var (
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -47,6 +47,9 @@
 	// Retries counts sends that repeat an earlier one, Resumed the broken streams
 	// that were resumed at another engine.
 	Retries, Resumed expvar.Int
+	// UnknownOrigin counts streams that callers took up and that were refused because the
+	// software version that began them was not known.
+	UnknownOrigin expvar.Int
 	// SilentKept counts sends whose endpoint was silent for too long and was waited
 	// for, because no other could take over; SilentLeft those that were given up.
 	SilentKept, SilentLeft expvar.Int
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/streamorigin"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
@@ -58,7 +59,9 @@
 	Budget *retry.SharedBudget
 	// Quotas decides on the requests of teams that have a quota.
 	Quotas *quotashare.Service
-	Client *upstream.Client
+	// Origins tells which software versions began the streams that callers take up.
+	Origins *streamorigin.Service
+	Client  *upstream.Client
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
@@ -184,6 +187,9 @@
 	if r := x.takeQuota(x.teamQuota); r != nil {
 		return r
 	}
+	if r := x.bindTakenUp(); r != nil {
+		return r
+	}
 	h.Budget.RecordRequest(x.service, x.arrived)
 	if service.Engine != nil && x.call.Prompt != nil {
 		return h.generate(x, h.Models.For(x.service))
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -13,6 +13,7 @@
 	"github.com/clementineshed/clementineshed/pkg/placement"
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
+	"github.com/clementineshed/clementineshed/pkg/routes"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
@@ -234,6 +235,9 @@
 // err is the error that came with the events.
 func (x *exchange) startStreaming(s *stream, events []byte, err error) {
 	x.handler.markRunning(x)
+	if x.call.LastEventID == "" && x.route.MayRepeat() {
+		x.handler.Origins.Began(x.workCtx, x.service, s.member.SoftwareVersion, x.call.ID)
+	}
 	x.firstByte = time.Now()
 	x.status = s.answer.Status
 	x.logFields["first_event_ms"] = x.firstByte.Sub(s.sentAt).Milliseconds()
@@ -244,6 +248,22 @@
 	x.ctx.SetBodyStream(&body{x: x, s: s, events: events, err: err}, -1)
 }
 
+// bindTakenUp binds a stream that the caller takes up to the software version that began it. It
+// returns the refusal of one whose version is not known.
+func (x *exchange) bindTakenUp() *refusal.Refusal {
+	if x.route.Kind != routes.Stream || x.lastDelivered == "" {
+		return nil
+	}
+	software, err := x.handler.Origins.Origin(x.workCtx, x.service, x.call.Resumes)
+	if err != nil {
+		x.handler.Metrics.UnknownOrigin.Add(1)
+		return refusal.NotRun(503, refusal.CodeNoEndpoint, "the software version that began the stream is not known").WithRetryAfter(x.retryAfter(busyRetryAfter)).WithCause(err)
+	}
+	x.software = software
+	x.logFields["resumes_software"] = software
+	return nil
+}
+
 // streamBrokenRefusal is the refusal of a request whose stream is not resumed.
 func streamBrokenRefusal(cause error) *refusal.Refusal {
 	return refusal.Unknown(502, refusal.CodeEndpointFailed, "the stream broke off").WithCause(cause)
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -30,6 +30,7 @@
 	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/streamorigin"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
@@ -111,6 +112,8 @@
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
 	duties    *duties
+	origins   *streamorigin.Service
+	served    servedVersions
 
 	// modelMu serializes refreshModels and guards fleetVersion, the version of
 	// the fleet that the placement models have; -1 if they must be updated.
@@ -139,10 +142,11 @@
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
 	h.quotas = h.newQuotas()
+	h.origins = h.newOrigins()
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: h.balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
-		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Client: h.client, LiveHosts: h.liveHosts,
+		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Origins: h.origins, Client: h.client, LiveHosts: h.liveHosts,
 		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
@@ -257,6 +261,7 @@
 	wg.Go(func() { h.duties.run(workCtx) })
 	wg.Go(func() { h.runHousekeeping(workCtx) })
 	wg.Go(func() { h.runEvidence(workCtx) })
+	wg.Go(func() { h.origins.Run(workCtx) })
 	wg.Go(func() { h.runPace(workCtx) })
 	wg.Go(func() { h.runTeams(workCtx) })
 	wg.Go(func() { h.recoverCaches(workCtx) })
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -60,6 +60,7 @@
 	line("requests_late", h.metrics.Late.Value())
 	line("sends_repeated", h.metrics.Retries.Value())
 	line("streams_resumed", h.metrics.Resumed.Value())
+	line("streams_of_unknown_software", h.metrics.UnknownOrigin.Value())
 	line("silent_endpoints_kept", h.metrics.SilentKept.Value())
 	line("silent_endpoints_left", h.metrics.SilentLeft.Value())
 	line("requests_in_flight", h.handler.InFlight())
--- a/pkg/routes/table.go
+++ b/pkg/routes/table.go
@@ -28,6 +28,8 @@
 	keys     map[string]*Team
 	// ranks holds, by service, the priorities of its routes, most urgent first.
 	ranks map[string][]rank
+	// resumable lists the services of resumable streams.
+	resumable []string
 }
 
 // rank is a priority with the shortest target of the routes that have it.
@@ -59,6 +61,9 @@
 		r := &document.Routes[i]
 		for _, s := range r.Services {
 			t.addRank(s.Service, rank{r.Priority, r.Target})
+			if r.Kind == Stream && r.Resumable && !slices.Contains(t.resumable, s.Service) {
+				t.resumable = append(t.resumable, s.Service)
+			}
 		}
 	}
 	return t
@@ -102,6 +107,9 @@
 // Services returns the document's services, which must not be changed.
 func (t *Table) Services() []Service { return t.document.Services }
 
+// ResumableServices returns the services of resumable streams. The slice must not be changed.
+func (t *Table) ResumableServices() []string { return t.resumable }
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
