relay: streams of an engine that has restarted unannounced are of no known version

An engine may start again under its ID and address with another software version. Until its announcement was read it counted as the old one: a host continued a stream that the engine had broken off, or that a caller took up, at the restarted engine, and took new streams of it for streams of the old version, which then went on at engines of that one.

A host that has met a failure of an engine since its announcement asks it for its start before it uses an answer, and each time if the work is bound to a version. The head of the answer has arrived by then, so that the process that sends the rest is the one that was asked. An engine that states another start is left out until it announces itself. One that states none gets no bound work.

On the code before, the stream of TestStreamDoesNotGoOnAtARestartedEngine went on to its end at the restarted engine, by the host and by the caller, and 11 of 12 streams of TestStreamOfARestartedEngineIsNotOfItsOldVersion went on at another version. Both pass now. TestRestartedEngineIsNoSourceOfCache passed before: a failure ejects the engine, and ejected engines are no sources. TestStreamGoesOnAtAnEngineThatHasNotRestarted guards the other side.

Passes: platform, relay, relayhost, streamorigin.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -62,6 +62,8 @@
 	// Origins tells which software versions began the streams that callers take up.
 	Origins *streamorigin.Service
 	Client  *upstream.Client
+	// ReadStart asks an endpoint with an engine when it has started, in Unix milliseconds.
+	ReadStart func(ctx context.Context, m fleet.Member) (startedMillis int64, err error)
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
@@ -87,6 +89,7 @@
 type Handler struct {
 	Options
 	inflight  inflight
+	doubts    doubts
 	draining  atomic.Bool
 	stopping  atomic.Bool
 	startedAt time.Time
@@ -112,6 +115,14 @@
 	}
 }
 
+// ForgetEndpoints drops what the handler remembers of endpoints that the fleet does not know.
+func (h *Handler) ForgetEndpoints() {
+	h.doubts.forget(func(id string) bool {
+		_, known := h.Fleet.Find(id)
+		return known
+	})
+}
+
 // Drain makes each further answer ask the caller to close its connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -162,6 +162,9 @@
 	if statesOwnCondition(answer, err) {
 		h.applyNotices(m, answer.Status, header)
 	}
+	if err == nil {
+		err = h.confirmStart(x, m, opts.Phase)
+	}
 	if err == nil {
 		return answer, nil
 	}
@@ -211,6 +214,9 @@
 		// other idle connections may be dead as well.
 		kind = outlier.TimedOut
 		h.Client.CloseIdle(m.Address)
+	case errors.Is(err, errRestarted) || errors.Is(err, errStartUnknown):
+		// The first is left out until it announces itself; the other has answered the request.
+		return
 	case provesNotRun(err) || errors.Is(err, errUnattributed):
 		// An endpoint that is full or was ordered to stop taking work has not failed.
 		h.Models.For(m.Service).Block(m.ID, now.Add(refusalCooldown))
@@ -230,6 +236,7 @@
 // ejection that follows from it.
 func (h *Handler) recordFailure(m fleet.Member, kind outlier.FailureKind, err error) {
 	now := time.Now()
+	h.doubts.add(m)
 	verdict := h.Outliers.Failed(m, kind, now)
 	if kind == outlier.TimedOut {
 		h.Pace.TimedOut(m.ID, now)
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -93,6 +93,8 @@
 	// accepted so far.
 	Busy   bool
 	Orders int64
+	// StartedMillis is when the engine has started, in Unix milliseconds.
+	StartedMillis int64
 }
 
 // Authority identifies the lease under which an order is given. Fence is the
--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -114,3 +114,9 @@
 		return d.platform.SetRole(ctx, m, to, report.Orders, by)
 	})
 }
+
+// readStart asks an engine when it has started, in Unix milliseconds.
+func (h *Host) readStart(ctx context.Context, m fleet.Member) (int64, error) {
+	report, err := h.adapter.Platform.Report(ctx, m)
+	return report.StartedMillis, err
+}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -147,7 +147,7 @@
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: h.balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
 		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Origins: h.origins, Client: h.client, LiveHosts: h.liveHosts,
-		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
+		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, ReadStart: h.readStart, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.conns.Limit(h.shares.Callers, logger)
@@ -322,6 +322,7 @@
 			}
 			memory.update(h.memory.Stats(), now, h.log)
 			h.client.Sweep()
+			h.handler.ForgetEndpoints()
 			outage = h.logOutage(outage, now)
 			for _, id := range h.fleet.Expire(now) {
 				h.endpointGone(id)
