streamorigin: an outage of the log delays few first events

Found by reading: once a version's last record is a minute old, first events wait for its renewal. Streams of a version that the log has named before now wait once in 20 s of an outage; those of a version that it never named wait as before. A caller that leaves no longer counts as a failure of the log.

--- a/pkg/streamorigin/service.go
+++ b/pkg/streamorigin/service.go
@@ -25,10 +25,12 @@
 	// after two seconds without an event.
 	resolveTimeout = 1200 * time.Millisecond
 	// establishTimeout bounds the wait of a stream's first event for the record of its
-	// version. It occurs once for each version at a host; after a failure streams do not wait
-	// for establishPause.
+	// version. It occurs once for each version at a host. After a failure it is tried again
+	// after establishPause, but streams of a version that the log has named before do not wait
+	// for waitPause, so that an outage of the log delays few of them.
 	establishTimeout = time.Second
 	establishPause   = time.Second
+	waitPause        = 20 * time.Second
 	// maxRestarts bounds how often a read starts again because the log has changed its era.
 	maxRestarts = 4
 	// minFlushInterval and flushIntervalPerHost bound the appends of attempts: all hosts
@@ -79,9 +81,10 @@
 	recorded map[version]time.Time
 	// several holds the services of which more than one version is known.
 	several map[string]bool
-	// establishAfter is when the next version may be established after a failure.
-	establishAfter time.Time
-	queue          []queued
+	// establishAfter is when a version may be established again after a failure, waitAfter when
+	// streams of a version that was recorded long ago wait for it again.
+	establishAfter, waitAfter time.Time
+	queue                     []queued
 	// era and next are the position of the next read.
 	era, next int64
 	// reading is the read in progress, following the one that begins after it.
@@ -112,10 +115,11 @@
 	v, a, now := version{service, software}, AttemptOf(service, attempt), time.Now()
 	s.mu.Lock()
 	s.own.begin(a, v, now)
-	wait := now.Sub(s.recorded[v]) >= Retention/2 && now.After(s.establishAfter)
+	wait := s.mustWait(v, now)
 	s.mu.Unlock()
 	if wait {
-		ctx, cancel := context.WithTimeout(ctx, establishTimeout)
+		// That a caller leaves says nothing of the log.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), establishTimeout)
 		defer cancel()
 		if err := s.establish(ctx, v, renewalAge); err != nil {
 			s.opts.Log.WithFields(log.Fields{"service": service, "software": software}).WithError(err).Warn("software_version_not_recorded")
@@ -129,6 +133,16 @@
 	s.countVersions(service, now)
 }
 
+// mustWait reports whether a first event waits until the log names its version. It must be called
+// with mu held.
+func (s *Service) mustWait(v version, now time.Time) bool {
+	at, wasRecorded := s.recorded[v]
+	if !wasRecorded {
+		return now.After(s.establishAfter)
+	}
+	return now.Sub(at) >= Retention/2 && now.After(s.waitAfter)
+}
+
 // countVersions finds out whether several versions of a service are known. Once they are, all
 // attempts that this host has begun are queued: so far their version went without saying. It
 // must be called with mu held.
@@ -311,7 +325,8 @@
 	if err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.establishAfter = time.Now().Add(establishPause)
+		now := time.Now()
+		s.establishAfter, s.waitAfter = now.Add(establishPause), now.Add(waitPause)
 	}
 	return err
 }
--- a/pkg/streamorigin/service_test.go
+++ b/pkg/streamorigin/service_test.go
@@ -222,3 +222,26 @@
 	time.Sleep(2 * checkInterval)
 	wantOrigin(t, New(Options{Client: log, Serving: func(string) []string { return []string{"v1"} }, LiveHosts: func() int { return 1 }, Log: logging.Discard()}), "another", "")
 }
+
+// TestLongOutageDelaysFewStreams guards against first events that wait again and again, in an outage
+// of the log, for the renewal of a version that the log has named long ago.
+func TestLongOutageDelaysFewStreams(t *testing.T) {
+	slow := newSlowLog(logservice.NewMemory(clockwork.NewRealClock()))
+	s := runHost(t, slow, versions("v1"))
+	s.Began(context.Background(), "llm", "v1", "id-1")
+	defer hold(&slow.appends)()
+	defer hold(&slow.reads)()
+	s.mu.Lock()
+	s.recorded[version{"llm", "v1"}] = time.Now().Add(-Retention / 2)
+	s.mu.Unlock()
+	waited := time.Duration(0)
+	for start, i := time.Now(), 0; time.Since(start) < 4*time.Second; i++ {
+		began := time.Now()
+		s.Began(context.Background(), "llm", "v1", fmt.Sprint("id-", i))
+		waited += time.Since(began)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if waited > establishTimeout+100*time.Millisecond {
+		t.Errorf("first events waited %v of 4s", waited)
+	}
+}
