--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/clementineshed/clementineshed/pkg/refusal"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/streamorigin"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 )
 
@@ -58,13 +59,17 @@
 	Budget *retry.SharedBudget
 	// Quotas decides on the requests of teams that have a quota.
 	Quotas *quotashare.Service
-	Client *upstream.Client
+	// Origins tells which software versions began the streams that callers take up.
+	Origins *streamorigin.Service
+	Client  *upstream.Client
 	// PathLostAfter reports whether this host has lost its path to an endpoint's address and
 	// has found that after a time. A request that was sent then may hang on that path.
 	PathLostAfter func(address string, at time.Time) bool
 	// PathsInDoubt reports whether the silence of endpoints may be that of this host's paths,
 	// so that the other hosts are not told of it.
 	PathsInDoubt func() bool
+	// ReadStart asks an endpoint with an engine when it has started, in Unix milliseconds.
+	ReadStart func(ctx context.Context, m fleet.Member) (startedMillis int64, err error)
 	// Ready is closed once the configuration and the endpoints have been read.
 	Ready <-chan struct{}
 	// LiveHosts returns the number of hosts that serve requests.
@@ -90,6 +95,7 @@
 type Handler struct {
 	Options
 	inflight  inflight
+	doubts    doubts
 	draining  atomic.Bool
 	stopping  atomic.Bool
 	startedAt time.Time
@@ -115,6 +121,14 @@
 	}
 }
 
+// ForgetEndpoints drops what the handler remembers of endpoints that the fleet does not know.
+func (h *Handler) ForgetEndpoints() {
+	h.doubts.forget(func(id string) bool {
+		_, known := h.Fleet.Find(id)
+		return known
+	})
+}
+
 // Drain makes each further answer ask the caller to close its connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
@@ -190,6 +204,9 @@
 	if r := x.takeQuota(x.teamQuota); r != nil {
 		return r
 	}
+	if r := x.bindTakenUp(); r != nil {
+		return r
+	}
 	h.Budget.RecordRequest(x.service, x.arrived)
 	if service.Engine != nil && x.call.Prompt != nil {
 		return h.generate(x, h.Models.For(x.service))
--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -20,6 +20,7 @@
 	"github.com/clementineshed/clementineshed/pkg/roles"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/steadyclock"
+	"github.com/clementineshed/clementineshed/pkg/upstream"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -96,6 +97,8 @@
 	// accepted so far.
 	Busy   bool
 	Orders int64
+	// StartedMillis is when the engine has started, in Unix milliseconds.
+	StartedMillis int64
 }
 
 // Authority identifies the lease under which an order is given. Fence is the
@@ -109,10 +112,12 @@
 // Implementations are safe for concurrent use.
 type Platform interface {
 	usage.WindowInterface
-	// Report asks an engine for its role and the state of its orders.
-	Report(ctx context.Context, m fleet.Member) (EngineReport, error)
-	// CachedParts returns the parts of prompts that an engine holds.
-	CachedParts(ctx context.Context, m fleet.Member) ([]placement.Part, error)
+	// Report asks an engine for its role and the state of its orders. The request is sent by
+	// the client, which may reach the engine through another host.
+	Report(ctx context.Context, client *upstream.Client, m fleet.Member) (EngineReport, error)
+	// CachedParts returns the parts of prompts that an engine holds. The request is sent as
+	// in Report.
+	CachedParts(ctx context.Context, client *upstream.Client, m fleet.Member) ([]placement.Part, error)
 	// SetRole orders an engine to take a role, on the condition that it has
 	// accepted exactly the expected number of orders.
 	SetRole(ctx context.Context, m fleet.Member, role endpoint.Role, expected int64, by Authority) error
