--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -330,3 +330,18 @@
 		}
 	}
 }
+
+// TestFirstWindowOfAnEraAllowsForClocks guards against a first window that a host whose
+// clock is ahead had closed just before the log came back from an older copy.
+func TestFirstWindowOfAnEraAllowsForClocks(t *testing.T) {
+	for _, times := range []testTimes{productTimes, platformTimes} {
+		length := windowLength(times.window)
+		for at := time.Unix(1_700_000_000, 0); at.Before(time.Unix(1_700_000_120, 0)); at = at.Add(100 * time.Millisecond) {
+			ahead, behind := at.Add(DefaultMaxClockSkew/2), at.Add(-DefaultMaxClockSkew/2)
+			r := &Reporter{opts: Options{Clock: clockwork.NewFakeClockAt(behind), Grace: times.grace, MaxClockSkew: DefaultMaxClockSkew}, fold: newFold(behind, length, disabledGuards{})}
+			if closed := length.indexOf(ahead.Add(-times.grace)) - 1; closed >= r.notEnded() {
+				t.Fatalf("grace %v, %v: window %d may be closed again, as %d is the first", times.grace, at, closed, r.notEnded())
+			}
+		}
+	}
+}
