usage: a window that a void close record names is not closed

A close record of another era, or of a host whose software states none, does not fix figures, but its window may have been reported with them. A view that reads one leaves the window out. The last case of TestCloseOfAnEarlierEraIsVoid fails without it (window 9 may be closed: first window to close is 7 instead of 10).

--- a/pkg/usage/eras.go
+++ b/pkg/usage/eras.go
@@ -54,6 +54,7 @@
 		f.restartAt(start.Oldest, now)
 		f.complete = f.complete || start.Oldest == 0
 		f.afterEarlierEra = true
+		// Their figures are kept.
 		for window := range f.closed {
 			f.keptThrough = max(f.keptThrough, window)
 		}
--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -233,20 +233,25 @@
 	if c := f.closed[5]; c == nil || c.figures["t"].Requests != 1 || f.firstClosable() != 6 {
 		t.Errorf("accepted before: %+v, first window to close %d", c, f.firstClosable())
 	}
-	late := closeRecord{Window: 8, Era: 1, Previous: unset, Figures: map[string]Counts{"t": {Requests: 2}}}
+	late := closeRecord{Window: 6, Era: 1, Previous: unset, Figures: map[string]Counts{"t": {Requests: 2}}}
 	foldRecords(t, f, eraRecord{Era: 1}, Flush{Incarnation: "a", Window: 5, Sequence: 1, Teams: first.Figures}, late, eraRecord{Era: 2}, eraRecord{Era: 1, First: 3}, eraRecord{Era: 2, First: 7}, eraRecord{Era: 2, First: 9}, late)
-	if f.closed[8] != nil || f.lastClosed != unset || !f.firstKnown || f.firstClosable() != 7 {
-		t.Errorf("closed %+v, first window to close %d", f.closed[8], f.firstClosable())
+	if f.closed[6] != nil || f.lastClosed != unset || !f.firstKnown || f.firstClosable() != 7 {
+		t.Errorf("closed %+v, first window to close %d", f.closed[6], f.firstClosable())
 	}
 	foldRecords(t, f, Flush{Incarnation: "a", Window: 6, Sequence: 1, Teams: first.Figures}, Flush{Incarnation: "a", Window: 8, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 4}}})
 	if figures := f.unreportedCounts(8); figures["t"].Requests != 4 {
 		t.Errorf("figures with counts of a window that may have been reported: %+v", figures)
 	}
-	late.Era = 2
+	late.Era, late.Window = 2, 8
 	foldRecords(t, f, late)
 	if f.closed[8] == nil {
 		t.Error("a close record of the era is ignored")
 	}
+	// Of a host whose software states no era, or whose clock is ahead.
+	foldRecords(t, f, closeRecord{Window: 9, Figures: first.Figures})
+	if f.closed[9] != nil || f.firstClosable() != 10 {
+		t.Errorf("a window that was closed in no era: closed %+v, first window to close %d", f.closed[9], f.firstClosable())
+	}
 }
 
 // TestReportsBeginWithTheFirstEra guards against usage of the first windows that is not
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -93,7 +93,7 @@
 	// the era may state a lower first window.
 	notEnded int64
 	again    bool
-	// keptThrough is the last window whose figures are kept from an earlier era.
+	// keptThrough is the last window that is known to have been closed in another era.
 	keptThrough int64
 }
 
@@ -202,6 +202,8 @@
 
 func (f *fold) foldClose(it foldedClose, now time.Time) {
 	if !f.ofThisEra(it.rec.Era) {
+		// The window may have been reported with these figures.
+		f.keptThrough = max(f.keptThrough, it.rec.Window)
 		return
 	}
 	if f.complete {
