--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -233,20 +233,25 @@
 	if c := f.closed[5]; c == nil || c.figures["t"].Requests != 1 || f.firstClosable() != 6 {
 		t.Errorf("accepted before: %+v, first window to close %d", c, f.firstClosable())
 	}
-	late := closeRecord{Window: 8, Era: 1, Previous: unset, Figures: map[string]Counts{"t": {Requests: 2}}}
+	late := closeRecord{Window: 6, Era: 1, Previous: unset, Figures: map[string]Counts{"t": {Requests: 2}}}
 	foldRecords(t, f, eraRecord{Era: 1}, Flush{Incarnation: "a", Window: 5, Sequence: 1, Teams: first.Figures}, late, eraRecord{Era: 2}, eraRecord{Era: 1, First: 3}, eraRecord{Era: 2, First: 7}, eraRecord{Era: 2, First: 9}, late)
-	if f.closed[8] != nil || f.lastClosed != unset || !f.firstKnown || f.firstClosable() != 7 {
-		t.Errorf("closed %+v, first window to close %d", f.closed[8], f.firstClosable())
+	if f.closed[6] != nil || f.lastClosed != unset || !f.firstKnown || f.firstClosable() != 7 {
+		t.Errorf("closed %+v, first window to close %d", f.closed[6], f.firstClosable())
 	}
 	foldRecords(t, f, Flush{Incarnation: "a", Window: 6, Sequence: 1, Teams: first.Figures}, Flush{Incarnation: "a", Window: 8, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 4}}})
 	if figures := f.unreportedCounts(8); figures["t"].Requests != 4 {
 		t.Errorf("figures with counts of a window that may have been reported: %+v", figures)
 	}
-	late.Era = 2
+	late.Era, late.Window = 2, 8
 	foldRecords(t, f, late)
 	if f.closed[8] == nil {
 		t.Error("a close record of the era is ignored")
 	}
+	// Of a host whose software states no era, or whose clock is ahead.
+	foldRecords(t, f, closeRecord{Window: 9, Figures: first.Figures})
+	if f.closed[9] != nil || f.firstClosable() != 10 {
+		t.Errorf("a window that was closed in no era: closed %+v, first window to close %d", f.closed[9], f.firstClosable())
+	}
 }
 
 // TestWindowOfOlderSoftwareIsNotClosedAgain guards against a window that is reported again
@@ -360,3 +365,18 @@
 		t.Errorf("the first window of the era is %d", f.first)
 	}
 }
+
+// TestFirstWindowOfAnEraAllowsForClocks guards against a first window that a host whose
+// clock is ahead had closed just before the log came back from an older copy.
+func TestFirstWindowOfAnEraAllowsForClocks(t *testing.T) {
+	for _, times := range []testTimes{productTimes, platformTimes} {
+		length := windowLength(times.window)
+		for at := time.Unix(1_700_000_000, 0); at.Before(time.Unix(1_700_000_120, 0)); at = at.Add(100 * time.Millisecond) {
+			ahead, behind := at.Add(DefaultMaxClockSkew/2), at.Add(-DefaultMaxClockSkew/2)
+			r := &Reporter{opts: Options{Clock: clockwork.NewFakeClockAt(behind), Grace: times.grace, MaxClockSkew: DefaultMaxClockSkew}, fold: newFold(behind, length, disabledGuards{})}
+			if closed := length.indexOf(ahead.Add(-times.grace)) - 1; closed >= r.notEnded() {
+				t.Fatalf("grace %v, %v: window %d may be closed again, as %d is the first", times.grace, at, closed, r.notEnded())
+			}
+		}
+	}
+}
