--- a/pkg/relayhost/duties.go
+++ b/pkg/relayhost/duties.go
@@ -20,6 +20,7 @@
 	"github.com/clementineshed/clementineshed/pkg/roles"
 	"github.com/clementineshed/clementineshed/pkg/sleep"
 	"github.com/clementineshed/clementineshed/pkg/steadyclock"
+	"github.com/clementineshed/clementineshed/pkg/upstream"
 	"github.com/clementineshed/clementineshed/pkg/usage"
 )
 
@@ -49,6 +50,9 @@
 	discoveryTime      = 700 * time.Millisecond
 	firstDiscoveryTime = 2200 * time.Millisecond
 	candidacyInterval  = time.Second
+	// firstEraWithin is less than firstDiscoveryTime by more than the time within which all
+	// hosts start.
+	firstEraWithin = 1500 * time.Millisecond
 	// claimSpread bounds the random delay of a candidate's lease claim.
 	claimSpread = 300 * time.Millisecond
 	// streamPollWait is how long a read of a stream waits for a record.
@@ -93,6 +97,8 @@
 	// accepted so far.
 	Busy   bool
 	Orders int64
+	// StartedMillis is when the engine has started, in Unix milliseconds.
+	StartedMillis int64
 }
 
 // Authority identifies the lease under which an order is given. Fence is the
@@ -106,10 +112,12 @@
 // Implementations are safe for concurrent use.
 type Platform interface {
 	usage.WindowInterface
-	// Report asks an engine for its role and the state of its orders.
-	Report(ctx context.Context, m fleet.Member) (EngineReport, error)
-	// CachedParts returns the parts of prompts that an engine holds.
-	CachedParts(ctx context.Context, m fleet.Member) ([]placement.Part, error)
+	// Report asks an engine for its role and the state of its orders. The request is sent by
+	// the client, which may reach the engine through another host.
+	Report(ctx context.Context, client *upstream.Client, m fleet.Member) (EngineReport, error)
+	// CachedParts returns the parts of prompts that an engine holds. The request is sent as
+	// in Report.
+	CachedParts(ctx context.Context, client *upstream.Client, m fleet.Member) ([]placement.Part, error)
 	// SetRole orders an engine to take a role, on the condition that it has
 	// accepted exactly the expected number of orders.
 	SetRole(ctx context.Context, m fleet.Member, role endpoint.Role, expected int64, by Authority) error
@@ -191,6 +199,14 @@
 	return o.duties.host.exchange.ForwardUsage(o.duties.candidates(), maxCandidates, flushes)
 }
 
+// firstStartIn reports whether an era of the store is that in which all hosts have started
+// for the first time. The store may have been restored since unless it stated the era before
+// any host could be a candidate.
+func (h *Host) firstStartIn(era int64) bool {
+	first, at, known := h.adapter.StoreEras.First()
+	return h.settings.FirstStart && known && era == first && at.Sub(h.startedAt) < firstEraWithin
+}
+
 func (d *duties) startCandidacy() *candidacy {
 	h := d.host
 	incarnation := h.settings.Host + "/" + uuid.NewString()
@@ -207,7 +223,7 @@
 		Key: d.key, Leases: c.leases, Sender: orders.NewSender(orders.Options{Clock: d.clock, Leases: c.leases, Incarnation: incarnation, Log: h.log}),
 		WindowInterface: d.platform, Log: h.log, Window: h.settings.UsageWindow,
 		Grace: usageGrace, FlushInterval: usageFlushInterval, QuietTime: usageQuietTime, ReadOptions: streamReadOptions(usageReadInterval),
-		Peers: otherCandidates{d}, HandOverAccepted: true,
+		Peers: otherCandidates{d}, HandOverAccepted: true, FirstStart: h.firstStartIn,
 		MayHoldCounts: func(sinceEnd time.Duration) bool {
 			return h.exchange.AwaitsUsage(time.Now().Add(usageForwardInterval + usageFlushInterval - sinceEnd))
 		},
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -31,6 +31,7 @@
 	"github.com/clementineshed/clementineshed/pkg/relay"
 	"github.com/clementineshed/clementineshed/pkg/retry"
 	"github.com/clementineshed/clementineshed/pkg/routes"
+	"github.com/clementineshed/clementineshed/pkg/streamorigin"
 	"github.com/clementineshed/clementineshed/pkg/tunnel"
 	"github.com/clementineshed/clementineshed/pkg/upstream"
 	"github.com/clementineshed/clementineshed/pkg/usage"
@@ -98,7 +99,11 @@
 	stored    storedEvidence
 	// evidenceWake starts the next round of runEvidence.
 	evidenceWake chan bool
-	client       *upstream.Client
+	// announceWake announces this host again. ownAnnouncement is the value that the store
+	// has acknowledged, nil if it has none yet.
+	announceWake    chan struct{}
+	ownAnnouncement atomic.Pointer[[]byte]
+	client          *upstream.Client
 	// paths follows whether this host reaches the endpoints, opener opens the connections
 	// to them, and tunnels carries those of other hosts.
 	paths        *pathwatch.Watch
@@ -120,6 +125,8 @@
 	followers map[string]*keyedlog.Follower
 	exchange  *loadshare.Exchange
 	duties    *duties
+	origins   *streamorigin.Service
+	served    servedVersions
 
 	// modelMu serializes refreshModels and guards fleetVersion, the version of
 	// the fleet that the placement models have; -1 if they must be updated.
@@ -138,7 +145,7 @@
 func New(settings Settings, adapter Adapter, logger log.Interface) *Host {
 	memory := membudget.New(membudget.HostLimit(settings.MemoryBytes))
 	h := &Host{settings: settings, memory: memory, adapter: adapter, log: logger, startedAt: time.Now(), fleet: fleet.NewRegistry(), announced: fleet.NewAnnouncements(), unnamed: unnamedEndpoints{last: map[string]endpointRecord{}}, pace: pace.NewLimiter(settings.Host),
-		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), stateLoaded: make(chan struct{}),
+		outliers: outlier.NewTracker(), metrics: relay.NewMetrics(), quotaMetrics: quotashare.NewMetrics(), fleetVersion: -1, evidenceWake: make(chan bool, 2), announceWake: make(chan struct{}, 1), stateLoaded: make(chan struct{}),
 		shares: descriptors.Divide(descriptors.Limit(settings.MaxFDs))}
 	h.initPaths()
 	h.client = upstream.New(upstream.Options{IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleUpstream, MaxOpen: h.shares.Endpoints, Memory: memory, Dial: h.opener.Open, MayUseIdle: h.paths.MayUseIdle,
@@ -150,11 +157,12 @@
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
 	h.quotas = h.newQuotas()
+	h.origins = h.newOrigins()
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
 		Balancer: h.balancer, Outliers: h.outliers, Pace: h.pace, Guard: h.guard,
-		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Client: h.client, LiveHosts: h.liveHosts,
-		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, PathLostAfter: h.paths.LostAfter, PathsInDoubt: func() bool { return h.paths.InDoubt(time.Now()) }, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
+		Budget: retry.NewSharedBudget(settings.RetryBudget, h.retryHosts, h.budgetStart()), Quotas: h.quotas, Origins: h.origins, Client: h.client, LiveHosts: h.liveHosts,
+		OnSent: h.reportSend, OnDecoded: h.reportDecode, OnRun: h.countRequest, OnEjected: h.reportEjection, OnLeaving: h.endpointLeaving, ReadStart: h.readStart, PathLostAfter: h.paths.LostAfter, PathsInDoubt: func() bool { return h.paths.InDoubt(time.Now()) }, Ready: h.stateLoaded, Metrics: h.metrics, Log: logger,
 	})
 	h.conns = callerconn.NewTracker(h.callerTimeouts)
 	h.conns.Limit(h.shares.Callers, logger)
@@ -266,12 +274,13 @@
 	for _, f := range h.followers {
 		wg.Go(func() { f.Run(workCtx) })
 	}
-	wg.Go(func() { h.announce(workCtx) })
+	wg.Go(func() { h.runAnnouncements(workCtx) })
 	wg.Go(func() { h.exchange.Run(workCtx) })
 	wg.Go(func() { h.quotas.Run(workCtx) })
 	wg.Go(func() { h.duties.run(workCtx) })
 	wg.Go(func() { h.runHousekeeping(workCtx) })
 	wg.Go(func() { h.runEvidence(workCtx) })
+	wg.Go(func() { h.origins.Run(workCtx) })
 	wg.Go(func() { h.runPace(workCtx) })
 	wg.Go(func() { h.runTeams(workCtx) })
 	wg.Go(func() { h.recoverCaches(workCtx) })
@@ -337,6 +346,7 @@
 			}
 			memory.update(h.memory.Stats(), now, h.log)
 			h.client.Sweep()
+			h.handler.ForgetEndpoints()
 			outage = h.logOutage(outage, now)
 			for _, id := range h.fleet.Expire(now) {
 				h.endpointGone(id)
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -41,6 +42,8 @@
 	random  *rand.Rand
 	ops     []porcupine.Operation
 	figures map[string]Counts // first figures by report id
+	// longestPause is the longest pause before a report; a minute if zero.
+	longestPause time.Duration
 }
 
 type fakeUsageConn struct{ usage *fakeUsage }
@@ -64,7 +67,7 @@
 // Send pauses at random, like a process that is stopped between the lease check
 // and the send, and loses responses.
 func (c fakeUsageConn) Send(_ context.Context, r Report) error {
-	c.usage.pause(10, 60*time.Second)
+	c.usage.pause(10, cmp.Or(c.usage.longestPause, time.Minute))
 	c.usage.mu.Lock()
 	defer c.usage.mu.Unlock()
 	lost := c.usage.random.Intn(5) == 0
@@ -119,8 +122,10 @@
 	usage *fakeUsage
 	// noPeers makes every handover fail, so that counts arrive late.
 	noPeers bool
-	mu      sync.Mutex
-	hosts   []*host
+	// firstEra is the era in which the hosts start for the first time, zero if they do not.
+	firstEra int64
+	mu       sync.Mutex
+	hosts    []*host
 }
 
 // HandOver gives flushes to the two newest hosts.
@@ -225,19 +230,28 @@
 	for name, c := range map[string]struct {
 		truncate bool
 		disabled disabledGuards
+		restore  bool
 	}{
-		"first close record wins":    {false, disabledGuards{firstCloseWins: true}},
-		"reading the close back":     {false, disabledGuards{readBack: true}},
-		"highest sequence counts":    {false, disabledGuards{sequenceCheck: true}},
-		"late counts in next window": {false, disabledGuards{lateCounts: true}},
-		"care with a truncated view": {true, disabledGuards{truncationCheck: true}},
+		"first close record wins":    {false, disabledGuards{firstCloseWins: true}, false},
+		"reading the close back":     {false, disabledGuards{readBack: true}, false},
+		"highest sequence counts":    {false, disabledGuards{sequenceCheck: true}, false},
+		"late counts in next window": {false, disabledGuards{lateCounts: true}, false},
+		"care with a truncated view": {true, disabledGuards{truncationCheck: true}, false},
+		"close records of one era":   {false, disabledGuards{eraOfCloses: true}, true},
+		"first window of an era":     {false, disabledGuards{eraRecord: true}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			detected, ran := 0, 0
 			for seed := int64(1); seed <= schedules || (detected == 0 && seed <= 8*schedules); seed++ {
 				ran++
-				if violation, _ := runSchedule(t, seed, c.truncate, c.disabled); violation != "" {
+				violation := ""
+				if c.restore {
+					violation, _, _ = runKills(t, seed, true, c.truncate, c.disabled)
+				} else {
+					violation, _ = runSchedule(t, seed, c.truncate, c.disabled)
+				}
+				if violation != "" {
 					detected++
 				}
 			}
