--- a/pkg/usage/eras.go
+++ b/pkg/usage/eras.go
@@ -75,16 +75,15 @@
 	return era == f.era || f.disabled.eraOfCloses
 }
 
-// foldEra reports whether the record decides which window is the first of the era.
-func (f *fold) foldEra(rec eraRecord) bool {
+// foldEra folds the record that decides which window is the first of the era, or a later
+// one. A record that takes the log for new counts in no view that knows better.
+func (f *fold) foldEra(rec eraRecord) {
 	if !f.ofThisEra(rec.Era) || rec.First == 0 && f.afterEarlierEra || !f.mayDecide(rec.First) {
-		return false
+		return
 	}
-	if f.firstKnown && (!rec.Again || rec.First <= f.first) {
-		return false
+	if !f.firstKnown || rec.Again && rec.First > f.first {
+		f.firstKnown, f.first = true, rec.First
 	}
-	f.firstKnown, f.first = true, rec.First
-	return true
 }
 
 // eraStarted begins the view of an era.
