relayhost: questions to engines have connections of their own

Since the merge of the paths to engines, reports and lists of caches went over the connections of requests, so that the first request to an engine was not on a new connection any more. They have a client of their own again, which opens connections as that of requests does.

--- a/pkg/relayhost/caches.go
+++ b/pkg/relayhost/caches.go
@@ -94,7 +94,7 @@
 	defer func() { <-slots }()
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
-	return h.adapter.Platform.CachedParts(ctx, h.client, m)
+	return h.adapter.Platform.CachedParts(ctx, h.control, m)
 }
 
 func (h *Host) reportCache(ctx context.Context, service, engine string, held []placement.Part) {
--- a/pkg/relayhost/engines.go
+++ b/pkg/relayhost/engines.go
@@ -94,7 +94,7 @@
 	if time.Now().Before(d.host.fleet.PausedUntil(m)) {
 		return errors.New("engine has asked for a pause")
 	}
-	report, err := d.platform.Report(ctx, d.host.client, m)
+	report, err := d.platform.Report(ctx, d.host.control, m)
 	if err != nil {
 		return err
 	}
@@ -117,6 +117,6 @@
 
 // readStart asks an engine when it has started, in Unix milliseconds.
 func (h *Host) readStart(ctx context.Context, m fleet.Member) (int64, error) {
-	report, err := h.adapter.Platform.Report(ctx, h.client, m)
+	report, err := h.adapter.Platform.Report(ctx, h.control, m)
 	return report.StartedMillis, err
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -46,6 +46,8 @@
 	// kept, maxIdleUpstream the number kept per endpoint.
 	upstreamIdleTimeout = 8 * time.Second
 	maxIdleUpstream     = 24
+	// maxIdleControl is the number kept for questions that belong to no request.
+	maxIdleControl = 1
 	// housekeepingInterval is the interval of periodic work, stateLogInterval
 	// that of the host_state log lines.
 	housekeepingInterval = 250 * time.Millisecond
@@ -104,6 +106,9 @@
 	announceWake    chan struct{}
 	ownAnnouncement atomic.Pointer[[]byte]
 	client          *upstream.Client
+	// control carries questions to endpoints that belong to no request. Their connections are
+	// kept apart: an answer that names no request counts on a new connection only.
+	control *upstream.Client
 	// paths follows whether this host reaches the endpoints, opener opens the connections
 	// to them, and tunnels carries those of other hosts.
 	paths        *pathwatch.Watch
@@ -157,6 +162,7 @@
 		ProcessEnded: h.client.ProcessEnded, OnCrash: h.reportCrash, OnRefuted: h.reportRefuted, OnSuspected: h.shareEvidenceSoon, Log: logger,
 	})
 	h.quotas = h.newQuotas()
+	h.control = upstream.New(upstream.Options{IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdleControl, Dial: h.opener.Open, MayUseIdle: h.paths.MayUseIdle})
 	h.origins = h.newOrigins()
 	h.handler = relay.New(relay.Options{
 		Codec: adapter.Codec, Routes: &h.routes, Fleet: h.fleet, Models: h.models,
@@ -311,6 +317,7 @@
 	_ = tunnels.Close()
 	h.tunnels.Close()
 	h.client.Close()
+	h.control.Close()
 	h.handler.Wait()
 	h.guard.Wait()
 	wg.Wait()
@@ -346,6 +353,7 @@
 			}
 			memory.update(h.memory.Stats(), now, h.log)
 			h.client.Sweep()
+			h.control.Sweep()
 			h.handler.ForgetEndpoints()
 			outage = h.logOutage(outage, now)
 			for _, id := range h.fleet.Expire(now) {
