usage: an incomplete view closes no window that a close record names

A view that lacks the start of the stream does not accept a close record of a host whose view begins earlier. If no other close followed for the quiet time, it closed the same window again, accepted its own record, and reported other figures: two reports for one window without a restore. Retention gives candidates such views.

Windows that a close record names, accepted or not, are left out by such a view. TestIncompleteViewClosesNoWindowThatAnotherCloseNames failed before: window 0 instead of 1, with 2 requests instead of 1. All tests of pkg/usage pass.

--- a/pkg/usage/eras_test.go
+++ b/pkg/usage/eras_test.go
@@ -380,3 +380,31 @@
 		}
 	}
 }
+
+// TestIncompleteViewClosesNoWindowThatAnotherCloseNames guards against a window that is closed
+// again, with other figures, by a host whose view begins later than that of the host that had
+// closed it while both lacked the start of the stream.
+func TestIncompleteViewClosesNoWindowThatAnotherCloseNames(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	f := newFold(at, windowLength(DefaultWindow), disabledGuards{})
+	f.restartAt(10, at)
+	window := f.length.indexOf(at) + 3
+	flush := func(offset, window int64) {
+		e, err := logservice.NewEntry("id", kindCounts, Flush{Incarnation: "a", Window: window, Sequence: 1, Teams: map[string]Counts{"t": {Requests: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.fold(logservice.Record{Offset: offset, TimeMillis: at.UnixMilli()}, e, at)
+	}
+	flush(10, window)
+	// Its writer has read from offset 5 on.
+	f.foldClose(foldedClose{offset: 11, rec: closeRecord{Window: window, Quiet: true, QuietSince: 5, Through: 10}}, at)
+	flush(12, window+1)
+	later := f.length.endOf(window + 2).Add(f.grace + f.quietTime)
+	if next, due := f.nextDue(later); !due || next != window+1 {
+		t.Errorf("closes window %d, %v, want only %d", next-window, due, 1)
+	}
+	if figures := f.unreportedCounts(window + 1); figures["t"].Requests != 1 {
+		t.Errorf("figures %+v with counts of a window that may have been reported", figures)
+	}
+}
--- a/pkg/usage/fold.go
+++ b/pkg/usage/fold.go
@@ -93,7 +93,8 @@
 	// the era may state a lower first window.
 	notEnded int64
 	again    bool
-	// keptThrough is the last window that is known to have been closed in another era.
+	// keptThrough is the last window that is known to have been closed in another era, or that
+	// an incomplete view has read a close record of.
 	keptThrough int64
 }
 
@@ -222,6 +223,8 @@
 		f.adoptClose(it)
 		return
 	}
+	// Others may have accepted it and reported its window.
+	f.keptThrough = max(f.keptThrough, it.rec.Window)
 	f.bufferedCloses = append(f.bufferedCloses, it)
 	if len(f.bufferedCloses) > maxBufferedCloses {
 		f.bufferedCloses = f.bufferedCloses[1:]
