--- a/pkg/usage/firststart_test.go
+++ b/pkg/usage/firststart_test.go
@@ -33,7 +33,10 @@
 				}
 				first.reporter.Add("t", Counts{Requests: 1})
 				time.Sleep(3 * time.Minute)
-				if len(cluster.usage.ops) == 0 {
+				cluster.usage.mu.Lock()
+				reports := len(cluster.usage.ops)
+				cluster.usage.mu.Unlock()
+				if reports == 0 {
 					t.Fatal("the first window was not reported")
 				}
 				cluster.remove(0).kill()
