--- a/review/lab-3/proxy.go
+++ b/review/lab-3/proxy.go
@@ -15,10 +15,12 @@
 	mu    sync.Mutex
 	isCut chan struct{}
 	conns []net.Conn
+	// silenced is closed and replaced by silence.
+	silenced chan struct{}
 }
 
 func newProxy(target string) *proxy {
-	p := &proxy{listener: listen(), target: target, isCut: make(chan struct{})}
+	p := &proxy{listener: listen(), target: target, isCut: make(chan struct{}), silenced: make(chan struct{})}
 	go p.serve()
 	return p
 }
@@ -28,15 +30,29 @@
 // cut stops all that passes, in both directions, for good.
 func (p *proxy) cut() { close(p.isCut) }
 
-func (p *proxy) cutOff() bool {
+// silence makes the connections that are open go silent for good, without a reset. New ones
+// work.
+func (p *proxy) silence() (connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.silenced)
+	p.silenced = make(chan struct{})
+	return len(p.conns)
+}
+
+func closed(c chan struct{}) bool {
 	select {
-	case <-p.isCut:
+	case <-c:
 		return true
 	default:
 		return false
 	}
 }
 
+func (p *proxy) cutOff() bool {
+	return closed(p.isCut)
+}
+
 func (p *proxy) serve() {
 	for {
 		c, err := p.listener.Accept()
@@ -46,6 +62,7 @@
 		// It is kept open also when it is not carried.
 		p.mu.Lock()
 		p.conns = append(p.conns, c)
+		silenced := p.silenced
 		p.mu.Unlock()
 		if p.cutOff() {
 			continue
@@ -55,16 +72,16 @@
 			_ = c.Close()
 			continue
 		}
-		go p.carry(c, to)
-		go p.carry(to, c)
+		go p.carry(c, to, silenced)
+		go p.carry(to, c, silenced)
 	}
 }
 
-func (p *proxy) carry(from, to net.Conn) {
+func (p *proxy) carry(from, to net.Conn, silenced chan struct{}) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if p.cutOff() {
+		if p.cutOff() || closed(silenced) {
 			return
 		}
 		if n > 0 {
