--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Runs the case "origins" of lab-3. TROUBLE=0 leaves the disruption out. Exit code 1: the rule was
+# Runs the case "outage" of lab-3. TROUBLE=0 leaves the disruption out. Exit code 1: the rule was
 # broken, 0: it held, 2: the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 CASE_DIR="$(pwd)/review/11"
 export CASE_DIR
-exec target/review-lab-3 origins
+exec target/review-lab-3 outage
--- a/review/lab-3/runner.go
+++ b/review/lab-3/runner.go
@@ -39,10 +39,24 @@
 	arrivals []arrival
 	// down ends the announcements.
 	down bool
+	open map[net.Conn]struct{}
+}
+
+// stop ends the runner: nothing listens any more, and its connections are reset.
+func (r *runner) stop() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
 }
 
 func newRunner(id, stage string) *runner {
-	r := &runner{id: id, stage: stage, software: "v1", listener: listen(), born: time.Now().UnixMilli(), state: "ready"}
+	r := &runner{id: id, stage: stage, software: "v1", listener: listen(), born: time.Now().UnixMilli(), state: "ready", open: map[net.Conn]struct{}{}}
 	r.answer = func(c net.Conn, a arrival) bool { return r.respond(c, a, 200, nil, "answer to "+a.id) == nil }
 	go r.serve()
 	return r
@@ -78,6 +92,7 @@
 		r.mu.Lock()
 		r.conns++
 		n := r.conns
+		r.open[c] = struct{}{}
 		r.mu.Unlock()
 		go r.serveConn(c, n)
 	}
